--- /dev/null
+++ b/src/core/include/damaskgate/core/event.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damaskgate::core {
+
+/** One key=value pair of an event. */
+struct EventField
+{
+    EventField(std::string_view key, std::string_view value);
+    EventField(std::string_view key, const char *value);
+    EventField(std::string_view key, bool value);
+    EventField(std::string_view key, double value);
+
+    template <std::integral T>
+    EventField(std::string_view key, T value) : key(key), value(std::to_string(value))
+    {}
+
+    std::string key;
+    std::string value;
+};
+
+/** Something that happened in a process, written as one log line and shown on the time line. */
+struct Event
+{
+    std::string name;
+    std::vector<EventField> fields;
+};
+
+/** Receives the events of a process. Implementations are safe to call from any thread. */
+class IEventSink
+{
+public:
+    virtual ~IEventSink() = default;
+
+    /** Records @p event; never blocks and never fails the caller. */
+    virtual void record(const Event &event) = 0;
+};
+
+/** Discards every event. */
+class NullEventSink final : public IEventSink
+{
+public:
+    void record(const Event &event) override;
+};
+
+/** @return @p event as one line of key=value pairs; values are quoted where they need it. */
+std::string toLine(const Event &event);
+
+} // namespace damaskgate::core
--- /dev/null
+++ b/src/core/include/damaskgate/core/hash.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "damaskgate/core/names.h"
+
+namespace damaskgate::core {
+
+using Sha256 = std::array<std::uint8_t, 32>;
+
+/** @return the SHA-256 digest of @p data. */
+Sha256 sha256(std::string_view data);
+
+/** @return the HMAC-SHA-256 of @p data under @p secret. */
+Sha256 hmacSha256(std::string_view secret, std::string_view data);
+
+/** @return @p bytes in lower-case hexadecimal. */
+std::string toHex(std::span<const std::uint8_t> bytes);
+
+/** @return a 64-bit hash of @p data, equal on every machine. */
+std::uint64_t hash64(std::string_view data);
+
+/** @return whether both digests are equal; takes the same time for every input. */
+bool equalInConstantTime(std::span<const std::uint8_t> first, std::span<const std::uint8_t> second);
+
+/**
+ * Orders @p hosts by rendezvous hashing for @p key: every machine that knows the same hosts
+ * computes the same order, and a host that comes or goes moves no other pair of hosts.
+ *
+ * @param hosts candidates in any order
+ * @param key what is to be placed
+ * @return the hosts, the most preferred first
+ */
+std::vector<HostName> rankHosts(std::span<const HostName> hosts, std::string_view key);
+
+} // namespace damaskgate::core
--- /dev/null
+++ b/src/core/tests/event_test.cpp
@@ -0,0 +1,31 @@
+#include "damaskgate/core/event.h"
+
+#include <gtest/gtest.h>
+
+using namespace damaskgate::core;
+
+TEST(Event_Tests, ToLine_PlainValues_AreNotQuoted)
+{
+    // [GIVEN] An event with fields of each kind
+    const Event event {
+        "lease-granted", { { "host", "ves-01" }, { "epoch", 7 }, { "ratio", 0.5 }, { "ok", true } }
+    };
+
+    // [WHEN] It is written as a line
+    const std::string line = toLine(event);
+
+    // [THEN] It is one line of key=value pairs
+    EXPECT_EQ(line, "event=lease-granted host=ves-01 epoch=7 ratio=0.5 ok=true");
+}
+
+TEST(Event_Tests, ToLine_LineBreakInValue_IsEscaped)
+{
+    // [GIVEN] A value that would break the line or forge a field
+    const Event event { "refused", { { "detail", "a\nb=\"c\"" } } };
+
+    // [WHEN] It is written as a line
+    const std::string line = toLine(event);
+
+    // [THEN] The value stays inside its quotes
+    EXPECT_EQ(line, "event=refused detail=\"a\\x0ab=\\\"c\\\"\"");
+}
--- /dev/null
+++ b/src/settings/include/damaskgate/settings/settingstypes.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "damaskgate/core/hash.h"
+#include "damaskgate/core/names.h"
+#include "damaskgate/core/time.h"
+
+namespace damaskgate::settings {
+
+/** Orders published settings: the higher revision wins, then the higher hash. */
+struct Revision
+{
+    std::uint64_t number = 0;
+    std::string hash; //!< SHA-256 of the manifest in hexadecimal
+
+    auto operator<=>(const Revision &) const = default;
+};
+
+struct FailureDomain
+{
+    core::DomainName name;
+    std::string region;
+    bool isInService = true;
+};
+
+/** An entry host of the fleet. */
+struct Host
+{
+    core::HostName name;
+    core::DomainName domain;
+    std::string address; //!< IP number
+    std::uint16_t callerPort = 0; //!< HTTP, for callers
+    std::uint16_t peerPort = 0; //!< UDP datagrams and TCP RPC, for other hosts
+    std::uint16_t operatorPort = 0; //!< HTTP, for metrics and status
+    bool isInService = true;
+};
+
+/** A customer of the fleet, limited by a rate and a burst that count over all hosts. */
+struct Workspace
+{
+    core::WorkspaceName name;
+    double ratePerSecond = 0;
+    double burst = 0; //!< requests
+    std::uint32_t weight = 1; //!< share of the queues in front of a busy service
+    std::vector<core::Sha256> keyHashes; //!< keys in force
+};
+
+/** Maps requests to a service; the longest matching path prefix wins. */
+struct Route
+{
+    core::RouteName name;
+    std::string pathPrefix;
+    std::vector<std::string> methods; //!< empty: all
+    core::ServiceName service;
+    std::vector<core::WorkspaceName> workspaces; //!< that may use the route; empty: all
+    bool isOpen = false; //!< needs no key
+    bool isRepeatable = true; //!< may be sent to an upstream more than once
+    bool isDeferrable = false; //!< gives way while the service is busy
+    core::Duration timeout {}; //!< for the whole exchange
+};
+
+struct Endpoint
+{
+    core::EndpointName name;
+    core::DomainName domain;
+    std::string address; //!< IP number
+    std::uint16_t port = 0;
+    bool isInService = true;
+};
+
+/** A group of equal upstream endpoints. */
+struct Service
+{
+    core::ServiceName name;
+    std::uint32_t slots = 1; //!< requests that one endpoint works on at the same time
+    std::uint32_t connections = 400; //!< connections that one endpoint accepts
+    double healthyFloor = 0.5; //!< fraction of the endpoints that ejection leaves in use
+    core::Duration rampTime {}; //!< from cold to full load
+    std::uint32_t queueLimit = 64; //!< requests waiting in one entry host
+    core::Duration probeInterval {};
+    std::map<core::EndpointName, Endpoint> endpoints;
+};
+
+/** The whole settings tree with inheritance applied; immutable once it is in force. */
+struct Settings
+{
+    Revision revision;
+    std::map<core::DomainName, FailureDomain> domains;
+    std::map<core::HostName, Host> hosts;
+    std::map<core::HostName, Host> previousHosts; //!< fleet before the last change of hosts
+    std::map<core::WorkspaceName, Workspace> workspaces;
+    std::map<core::RouteName, Route> routes;
+    std::map<core::ServiceName, Service> services;
+};
+
+using SettingsPtr = std::shared_ptr<const Settings>;
+
+} // namespace damaskgate::settings
