--- /dev/null
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "damaskgate/core/names.h"
+#include "damaskgate/core/time.h"
+#include "damaskgate/settings/settingstypes.h"
+
+namespace damaskgate::balance {
+
+/** How an exchange with an endpoint ended. */
+enum class Outcome {
+    Answered, //!< a whole answer below status 500
+    ServerError, //!< a whole answer of status 500 or above, other than a shed
+    Shed, //!< the endpoint refused explicitly and did not run the request
+    ConnectFailed, //!< no connection was made
+    Timeout, //!< no whole answer in time
+    BrokenOff, //!< the connection broke before the whole answer
+    Cancelled, //!< the caller left; says nothing about the endpoint
+};
+
+/** Load that an endpoint reports in its answers. It may lag or mislead. */
+struct LoadReport
+{
+    std::uint32_t inFlight = 0;
+    std::uint32_t slots = 0;
+    std::uint64_t incarnation = 0; //!< changes with each start of the endpoint
+};
+
+/** What one exchange told about an endpoint. */
+struct ExchangeReport
+{
+    Outcome outcome = Outcome::Answered;
+    core::Duration latency {}; //!< from the first byte sent to the first byte received
+    std::optional<LoadReport> load;
+};
+
+/** A request that waits for an endpoint. */
+struct WorkRequest
+{
+    core::ServiceName service;
+    core::WorkspaceName workspace; //!< empty on open routes
+    bool isDeferrable = false;
+    core::Instant deadline;
+    std::vector<core::EndpointName> excluded; //!< endpoints that already failed this request
+};
+
+/** A slot of an endpoint, held until it is released. */
+struct SlotGrant
+{
+    std::uint64_t id = 0;
+    core::ServiceName service;
+    settings::Endpoint endpoint;
+};
+
+} // namespace damaskgate::balance
