membership: failure detector and news with a cost that does not grow with the fleet

Ways weighed: all-to-all heartbeats (86 messages/s for each of 44 hosts at 500 ms, growing with the fleet), and probing one random host each period with news carried on the probes (SWIM). Tests on virtual time, 44 hosts: at most 4 messages/s a host without faults; a killed host is dead for all within 8 s; a one-way cut between two kills neither; a host cut from all blames its own links; a process woken late suspects nobody; a split of a minute heals.

--- /dev/null
+++ b/src/membership/include/damaskgate/membership/imemberview.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "damaskgate/core/names.h"
+
+#include "damaskgate/membership/membertypes.h"
+
+namespace damaskgate::membership {
+
+/** What this host knows of the others. Used on the control thread. */
+class IMemberView
+{
+public:
+    virtual ~IMemberView() = default;
+
+    /** @return the state of @p host; Dead when it is not in the roster. */
+    virtual MemberState stateOf(const core::HostName &host) const = 0;
+
+    /** @return hosts that take new work, this one included unless it is leaving. */
+    virtual std::vector<core::HostName> liveHosts() const = 0;
+};
+
+} // namespace damaskgate::membership
--- /dev/null
+++ b/src/membership/membercodec.cpp
@@ -0,0 +1,130 @@
+#include "membercodec.h"
+
+#include <cstdint>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include "membershipmessages.capnp.h"
+
+namespace damaskgate::membership {
+
+namespace {
+
+constexpr std::size_t WordLimit = 4096; // Cap'n Proto words read from one message
+constexpr std::uint32_t FirstSegmentWords = 128;
+
+void writeRevision(wire::Revision::Builder builder, const RevisionMark &mark)
+{
+    builder.setNumber(mark.number);
+    builder.setHashPrefix(mark.hashPrefix);
+}
+
+void writeUpdates(wire::MemberMessage::Builder builder, std::span<const MemberUpdate> updates)
+{
+    auto list = builder.initUpdates(static_cast<unsigned>(updates.size()));
+    unsigned index = 0;
+    for (const MemberUpdate &update : updates) {
+        auto item = list[index++];
+        item.setHost(update.host.text());
+        item.setIncarnation(update.incarnation);
+        item.setCounter(update.counter);
+        item.setState(static_cast<std::uint8_t>(update.state));
+    }
+}
+
+struct MessageWriter
+{
+    wire::MemberMessage::Builder builder;
+
+    void operator()(const Probe &probe)
+    {
+        this->builder.setSequence(probe.sequence);
+        writeRevision(this->builder.initRevision(), probe.revision);
+        writeUpdates(this->builder, probe.updates);
+        this->builder.setProbe();
+    }
+
+    void operator()(const ProbeReply &reply)
+    {
+        this->builder.setSequence(reply.sequence);
+        writeRevision(this->builder.initRevision(), reply.revision);
+        writeUpdates(this->builder, reply.updates);
+        this->builder.setReply();
+    }
+
+    void operator()(const IndirectProbe &request)
+    {
+        this->builder.setSequence(request.sequence);
+        this->builder.setIndirectTarget(request.target.text());
+    }
+};
+
+RevisionMark readRevision(wire::Revision::Reader reader)
+{
+    return RevisionMark { reader.getNumber(), reader.getHashPrefix() };
+}
+
+std::vector<MemberUpdate> readUpdates(wire::MemberMessage::Reader reader)
+{
+    std::vector<MemberUpdate> updates;
+    for (const auto item : reader.getUpdates()) {
+        if (item.getState() > static_cast<std::uint8_t>(MemberState::Dead)) {
+            continue;
+        }
+        updates.push_back(MemberUpdate { core::HostName(item.getHost().cStr()),
+                                         item.getIncarnation(), item.getCounter(),
+                                         static_cast<MemberState>(item.getState()) });
+    }
+    return updates;
+}
+
+MemberMessage readMessage(wire::MemberMessage::Reader reader)
+{
+    switch (reader.which()) {
+    case wire::MemberMessage::PROBE:
+        return Probe { reader.getSequence(), readRevision(reader.getRevision()),
+                       readUpdates(reader) };
+    case wire::MemberMessage::REPLY:
+        return ProbeReply { reader.getSequence(), readRevision(reader.getRevision()),
+                            readUpdates(reader) };
+    case wire::MemberMessage::INDIRECT_TARGET:
+        break;
+    }
+    return IndirectProbe { reader.getSequence(),
+                           core::HostName(reader.getIndirectTarget().cStr()) };
+}
+
+} // namespace
+
+std::vector<std::byte> encode(const MemberMessage &message)
+{
+    capnp::MallocMessageBuilder builder(FirstSegmentWords);
+    std::visit(MessageWriter { builder.initRoot<wire::MemberMessage>() }, message);
+    kj::VectorOutputStream output;
+    capnp::writePackedMessage(output, builder);
+    const auto bytes =
+        std::as_bytes(std::span(output.getArray().begin(), output.getArray().size()));
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<MemberMessage> decode(std::span<const std::byte> payload)
+{
+    std::optional<MemberMessage> message;
+    const auto failure = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream input(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(payload.data()), payload.size()));
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = WordLimit;
+        capnp::PackedMessageReader reader(input, options);
+        message = readMessage(reader.getRoot<wire::MemberMessage>());
+    });
+    if (failure != nullptr) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+} // namespace damaskgate::membership
--- /dev/null
+++ b/src/membership/membershipservice.cpp
@@ -0,0 +1,131 @@
+#include "damaskgate/membership/membershipservice.h"
+
+#include <optional>
+#include <ranges>
+#include <utility>
+
+#include "membercodec.h"
+
+namespace damaskgate::membership {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod { 50 };
+constexpr std::size_t PrefixDigits = 16;
+
+RevisionMark markOf(const settings::Revision &revision)
+{
+    const std::string prefix = revision.hash.substr(0, PrefixDigits);
+    const bool isHex = prefix.find_first_not_of("0123456789abcdef") == std::string::npos;
+    const std::uint64_t value = prefix.empty() || !isHex ? 0 : std::stoull(prefix, nullptr, 16);
+    return RevisionMark { revision.number, value };
+}
+
+} // namespace
+
+MembershipService::MembershipService(boost::asio::io_context &context, const core::IClock &clock,
+                                     peer::IPeerNetwork &network, core::IEventSink &events,
+                                     core::HostName self, std::uint64_t incarnation)
+    : timer(context), clock(clock), network(network), events(events),
+      members(std::move(self), incarnation, incarnation)
+{}
+
+void MembershipService::start()
+{
+    this->isRunning = true;
+    this->network.setHandler(peer::MessageKind::Heartbeat, [this](const peer::Datagram &datagram) {
+        this->onDatagram(datagram);
+    });
+    this->scheduleTick();
+}
+
+void MembershipService::stop()
+{
+    this->isRunning = false;
+    this->timer.cancel();
+}
+
+void MembershipService::applySettings(const settings::Settings &settings)
+{
+    std::vector<core::HostName> hosts;
+    std::ranges::copy(settings.hosts | std::views::keys, std::back_inserter(hosts));
+    this->members.applyRoster(hosts);
+    this->members.setRevision(markOf(settings.revision));
+    this->notifyChanges();
+}
+
+void MembershipService::announceLeaving()
+{
+    this->sendAll(this->members.announceLeaving());
+    this->notifyChanges();
+}
+
+void MembershipService::addChangeListener(ChangeListener listener)
+{
+    this->changeListeners.push_back(std::move(listener));
+}
+
+void MembershipService::setRevisionListener(RevisionListener listener)
+{
+    this->revisionListener = std::move(listener);
+}
+
+const MemberTable &MembershipService::table() const
+{
+    return this->members;
+}
+
+void MembershipService::scheduleTick()
+{
+    this->timer.expires_after(TickPeriod);
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error && this->isRunning) {
+            this->onTick();
+            this->scheduleTick();
+        }
+    });
+}
+
+void MembershipService::onTick()
+{
+    this->sendAll(this->members.tick(this->clock.now()));
+    this->notifyChanges();
+    const auto newer = this->members.newerRevision();
+    if (newer && this->revisionListener) {
+        this->revisionListener(newer->first, newer->second);
+    }
+}
+
+void MembershipService::onDatagram(const peer::Datagram &datagram)
+{
+    const std::optional<MemberMessage> message = decode(datagram.payload);
+    if (!this->isRunning || !message) {
+        return;
+    }
+    this->sendAll(
+        this->members.receive(datagram.from, datagram.incarnation, *message, this->clock.now()));
+    this->notifyChanges();
+}
+
+void MembershipService::sendAll(const std::vector<OutgoingMessage> &messages)
+{
+    for (const OutgoingMessage &outgoing : messages) {
+        this->network.send(outgoing.to, peer::MessageKind::Heartbeat, encode(outgoing.message));
+    }
+}
+
+void MembershipService::notifyChanges()
+{
+    if (this->changesSeen == this->members.changeCount()) {
+        return;
+    }
+    this->changesSeen = this->members.changeCount();
+    this->events.record(
+        { "membership-changed",
+          { { "live", this->members.liveHosts().size() }, { "changes", this->changesSeen } } });
+    for (const ChangeListener &listener : this->changeListeners) {
+        listener();
+    }
+}
+
+} // namespace damaskgate::membership
