--- a/src/membership/include/damaskgate/membership/membershipservice.h
+++ b/src/membership/include/damaskgate/membership/membershipservice.h
@@ -22,7 +22,8 @@
 {
 public:
     using ChangeListener = std::function<void()>;
-    using RevisionListener = std::function<void(const core::HostName &, const RevisionMark &)>;
+    using RevisionListener =
+        std::function<void(const core::HostName &, const settings::Revision &)>;
 
     MembershipService(boost::asio::io_context &context, const core::IClock &clock,
                       peer::IPeerNetwork &network, core::IEventSink &events, core::HostName self,
--- a/src/membership/include/damaskgate/membership/membertable.h
+++ b/src/membership/include/damaskgate/membership/membertable.h
@@ -24,7 +24,9 @@
     core::Duration suspicionTime = std::chrono::milliseconds(1500);
     std::uint32_t indirectProbes = 2; //!< third hosts that are asked before a suspicion
     std::uint32_t updatesPerMessage = 6;
-    std::uint32_t contactWindow = 6; //!< probes over which contact with the fleet is judged
+    std::uint32_t contactWindow = 20; //!< probes over which contact with the fleet is judged
+    std::uint32_t ownLinkWindow = 6; //!< probes whose failures point at the own links
+    std::uint32_t contactAnswers = 3; //!< answered probes that prove contact at a time
 };
 
 /**
@@ -47,7 +49,7 @@
     void applyRoster(std::span<const core::HostName> hosts);
 
     /** Sets the settings revision that this host tells others. */
-    void setRevision(const RevisionMark &mark);
+    void setRevision(const settings::Revision &revision);
 
     /** Runs what is due at @p now; to be called several times in each probe period. */
     std::vector<OutgoingMessage> tick(core::Instant now);
@@ -63,10 +65,15 @@
     std::vector<core::HostName> liveHosts() const override;
 
     /** @return the highest revision heard of and a host that told it, if above the own one. */
-    std::optional<std::pair<core::HostName, RevisionMark>> newerRevision() const;
+    std::optional<std::pair<core::HostName, settings::Revision>> newerRevision() const;
 
-    /** @return the fraction of the latest probes that were answered; 1 before the first. */
-    double contactFraction() const;
+    /**
+     * Tells since when this host is known to be in contact with most of the fleet.
+     *
+     * @return when the oldest of the latest answered probes was sent; nothing while too few were
+     *         answered or most of the recent probes failed
+     */
+    std::optional<core::Instant> contactSince() const;
 
     /** @return how many times the state of a host has changed; rises with each change. */
     std::uint64_t changeCount() const;
@@ -84,6 +91,7 @@
     {
         core::HostName target;
         std::uint64_t sequence = 0;
+        core::Instant sentAt;
         core::Instant replyDue;
         core::Instant giveUpAt;
         bool isIndirect = false;
@@ -101,12 +109,13 @@
     std::vector<OutgoingMessage> onIndirectProbe(const core::HostName &from,
                                                  const IndirectProbe &request, core::Instant now);
     void onHeardFrom(const core::HostName &host, std::uint64_t incarnation);
-    void onRevisionHeard(const core::HostName &host, const RevisionMark &mark);
+    void onRevisionHeard(const core::HostName &host, const settings::Revision &revision);
     void startProbe(core::Instant now, std::vector<OutgoingMessage> &out);
     void checkPendingProbe(core::Instant now, std::vector<OutgoingMessage> &out);
     void expireSuspicions(core::Instant now);
     void suspect(const core::HostName &host);
-    void recordContact(bool isAnswered);
+    void recordContact(bool isAnswered, core::Instant sentAt);
+    double contactFraction(std::size_t probes) const;
     void applyUpdate(const MemberUpdate &update);
     void refute(const MemberUpdate &update);
     void adopt(Member &member, const MemberUpdate &update);
@@ -125,8 +134,9 @@
     std::optional<PendingProbe> pending;
     std::map<std::uint64_t, RelayedProbe> relayed;
     std::deque<bool> recentContacts;
-    RevisionMark ownRevision;
-    RevisionMark highestRevision;
+    std::deque<core::Instant> answeredProbes; //!< when the latest answered probes were sent
+    settings::Revision ownRevision;
+    settings::Revision highestRevision;
     core::HostName highestRevisionHost;
     std::uint64_t nextSequence = 1;
     std::uint64_t changes = 0;
--- a/src/membership/include/damaskgate/membership/membertypes.h
+++ b/src/membership/include/damaskgate/membership/membertypes.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <variant>
 #include <vector>
 
 #include "damaskgate/core/names.h"
+#include "damaskgate/settings/settingstypes.h"
 
 namespace damaskgate::membership {
 
@@ -28,20 +28,11 @@
     bool operator==(const MemberUpdate &) const = default;
 };
 
-/** Short form of settings::Revision that travels with each probe. */
-struct RevisionMark
-{
-    std::uint64_t number = 0;
-    std::uint64_t hashPrefix = 0; //!< first 8 bytes of the manifest's hash, big endian
-
-    auto operator<=>(const RevisionMark &) const = default;
-};
-
 /** Asks a host whether it is alive. */
 struct Probe
 {
     std::uint64_t sequence = 0;
-    RevisionMark revision;
+    settings::Revision revision; //!< in force at the sender
     std::vector<MemberUpdate> updates;
 };
 
@@ -49,7 +40,7 @@
 struct ProbeReply
 {
     std::uint64_t sequence = 0; //!< of the probe that is answered
-    RevisionMark revision;
+    settings::Revision revision; //!< in force at the sender
     std::vector<MemberUpdate> updates;
 };
 
--- a/src/membership/membercodec.cpp
+++ b/src/membership/membercodec.cpp
@@ -16,10 +16,10 @@
 constexpr std::size_t WordLimit = 4096; // Cap'n Proto words read from one message
 constexpr std::uint32_t FirstSegmentWords = 128;
 
-void writeRevision(wire::Revision::Builder builder, const RevisionMark &mark)
+void writeRevision(wire::Revision::Builder builder, const settings::Revision &revision)
 {
-    builder.setNumber(mark.number);
-    builder.setHashPrefix(mark.hashPrefix);
+    builder.setNumber(revision.number);
+    builder.setHash(revision.hash);
 }
 
 void writeUpdates(wire::MemberMessage::Builder builder, std::span<const MemberUpdate> updates)
@@ -62,9 +62,9 @@
     }
 };
 
-RevisionMark readRevision(wire::Revision::Reader reader)
+settings::Revision readRevision(wire::Revision::Reader reader)
 {
-    return RevisionMark { reader.getNumber(), reader.getHashPrefix() };
+    return settings::Revision { reader.getNumber(), std::string(reader.getHash().cStr()) };
 }
 
 std::vector<MemberUpdate> readUpdates(wire::MemberMessage::Reader reader)
--- a/src/membership/membershipmessages.capnp
+++ b/src/membership/membershipmessages.capnp
@@ -5,7 +5,7 @@
 
 struct Revision {
   number @0 :UInt64;
-  hashPrefix @1 :UInt64;
+  hash @1 :Text;
 }
 
 struct Update {
--- a/src/membership/membershipmessages.capnp.h
+++ b/src/membership/membershipmessages.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -20,678 +20,826 @@
 CAPNP_DECLARE_SCHEMA(95676b3e2bcadc14);
 CAPNP_DECLARE_SCHEMA(b5833c49745b708d);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace damaskgate {
 namespace membership {
 namespace wire {
 
-struct Revision {
-  Revision() = delete;
+struct Revision
+{
+    Revision() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f906e571004bab50, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(f906e571004bab50, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Update {
-  Update() = delete;
+struct Update
+{
+    Update() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(95676b3e2bcadc14, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(95676b3e2bcadc14, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct MemberMessage {
-  MemberMessage() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  enum Which: uint16_t {
-    PROBE,
-    REPLY,
-    INDIRECT_TARGET,
-  };
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5833c49745b708d, 2, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+struct MemberMessage
+{
+    MemberMessage() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    enum Which : uint16_t {
+        PROBE,
+        REPLY,
+        INDIRECT_TARGET,
+    };
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b5833c49745b708d, 2, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class Revision::Reader {
+class Revision::Reader
+{
 public:
-  typedef Revision Reads;
+    typedef Revision Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+    inline ::uint64_t getNumber() const;
 
-  inline  ::uint64_t getHashPrefix() const;
+    inline bool hasHash() const;
+    inline ::capnp::Text::Reader getHash() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Revision::Builder {
+class Revision::Builder
+{
 public:
-  typedef Revision Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Revision Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
-
-  inline  ::uint64_t getHashPrefix();
-  inline void setHashPrefix( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
+
+    inline bool hasHash();
+    inline ::capnp::Text::Builder getHash();
+    inline void setHash(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHash(unsigned int size);
+    inline void adoptHash(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHash();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Revision::Pipeline {
+class Revision::Pipeline
+{
 public:
-  typedef Revision Pipelines;
+    typedef Revision Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Update::Reader {
+class Update::Reader
+{
 public:
-  typedef Update Reads;
+    typedef Update Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
+    inline bool hasHost() const;
+    inline ::capnp::Text::Reader getHost() const;
 
-  inline  ::uint64_t getIncarnation() const;
+    inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint32_t getCounter() const;
+    inline ::uint32_t getCounter() const;
 
-  inline  ::uint8_t getState() const;
+    inline ::uint8_t getState() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Update::Builder {
+class Update::Builder
+{
 public:
-  typedef Update Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Update Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+    inline bool hasHost();
+    inline ::capnp::Text::Builder getHost();
+    inline void setHost(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHost(unsigned int size);
+    inline void adoptHost(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHost();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+    inline ::uint64_t getIncarnation();
+    inline void setIncarnation(::uint64_t value);
 
-  inline  ::uint32_t getCounter();
-  inline void setCounter( ::uint32_t value);
+    inline ::uint32_t getCounter();
+    inline void setCounter(::uint32_t value);
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+    inline ::uint8_t getState();
+    inline void setState(::uint8_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Update::Pipeline {
+class Update::Pipeline
+{
 public:
-  typedef Update Pipelines;
+    typedef Update Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class MemberMessage::Reader {
+class MemberMessage::Reader
+{
 public:
-  typedef MemberMessage Reads;
+    typedef MemberMessage Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline Which which() const;
-  inline  ::uint64_t getSequence() const;
+    inline Which which() const;
+    inline ::uint64_t getSequence() const;
 
-  inline bool hasRevision() const;
-  inline  ::damaskgate::membership::wire::Revision::Reader getRevision() const;
+    inline bool hasRevision() const;
+    inline ::damaskgate::membership::wire::Revision::Reader getRevision() const;
 
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+    inline bool hasUpdates() const;
+    inline ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Reader
+    getUpdates() const;
 
-  inline bool isProbe() const;
-  inline  ::capnp::Void getProbe() const;
+    inline bool isProbe() const;
+    inline ::capnp::Void getProbe() const;
 
-  inline bool isReply() const;
-  inline  ::capnp::Void getReply() const;
+    inline bool isReply() const;
+    inline ::capnp::Void getReply() const;
 
-  inline bool isIndirectTarget() const;
-  inline bool hasIndirectTarget() const;
-  inline  ::capnp::Text::Reader getIndirectTarget() const;
+    inline bool isIndirectTarget() const;
+    inline bool hasIndirectTarget() const;
+    inline ::capnp::Text::Reader getIndirectTarget() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class MemberMessage::Builder {
+class MemberMessage::Builder
+{
 public:
-  typedef MemberMessage Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef MemberMessage Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool hasRevision();
-  inline  ::damaskgate::membership::wire::Revision::Builder getRevision();
-  inline void setRevision( ::damaskgate::membership::wire::Revision::Reader value);
-  inline  ::damaskgate::membership::wire::Revision::Builder initRevision();
-  inline void adoptRevision(::capnp::Orphan< ::damaskgate::membership::wire::Revision>&& value);
-  inline ::capnp::Orphan< ::damaskgate::membership::wire::Revision> disownRevision();
-
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
-
-  inline bool isProbe();
-  inline  ::capnp::Void getProbe();
-  inline void setProbe( ::capnp::Void value = ::capnp::VOID);
-
-  inline bool isReply();
-  inline  ::capnp::Void getReply();
-  inline void setReply( ::capnp::Void value = ::capnp::VOID);
-
-  inline bool isIndirectTarget();
-  inline bool hasIndirectTarget();
-  inline  ::capnp::Text::Builder getIndirectTarget();
-  inline void setIndirectTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIndirectTarget(unsigned int size);
-  inline void adoptIndirectTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIndirectTarget();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline Which which();
+    inline ::uint64_t getSequence();
+    inline void setSequence(::uint64_t value);
+
+    inline bool hasRevision();
+    inline ::damaskgate::membership::wire::Revision::Builder getRevision();
+    inline void setRevision(::damaskgate::membership::wire::Revision::Reader value);
+    inline ::damaskgate::membership::wire::Revision::Builder initRevision();
+    inline void adoptRevision(::capnp::Orphan<::damaskgate::membership::wire::Revision> &&value);
+    inline ::capnp::Orphan<::damaskgate::membership::wire::Revision> disownRevision();
+
+    inline bool hasUpdates();
+    inline ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Builder
+    getUpdates();
+    inline void setUpdates(
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Builder
+    initUpdates(unsigned int size);
+    inline void adoptUpdates(::capnp::Orphan<::capnp::List<::damaskgate::membership::wire::Update,
+                                                           ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>
+    disownUpdates();
+
+    inline bool isProbe();
+    inline ::capnp::Void getProbe();
+    inline void setProbe(::capnp::Void value = ::capnp::VOID);
+
+    inline bool isReply();
+    inline ::capnp::Void getReply();
+    inline void setReply(::capnp::Void value = ::capnp::VOID);
+
+    inline bool isIndirectTarget();
+    inline bool hasIndirectTarget();
+    inline ::capnp::Text::Builder getIndirectTarget();
+    inline void setIndirectTarget(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIndirectTarget(unsigned int size);
+    inline void adoptIndirectTarget(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIndirectTarget();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class MemberMessage::Pipeline {
+class MemberMessage::Pipeline
+{
 public:
-  typedef MemberMessage Pipelines;
+    typedef MemberMessage Pipelines;
+
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::damaskgate::membership::wire::Revision::Pipeline getRevision();
 
-  inline  ::damaskgate::membership::wire::Revision::Pipeline getRevision();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline  ::uint64_t Revision::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Revision::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Revision::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Revision::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Revision::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Revision::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Revision::Reader::getHashPrefix() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Revision::Reader::hasHash() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Revision::Builder::getHashPrefix() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Revision::Builder::setHashPrefix( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Update::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Update::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Revision::Builder::hasHash()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Update::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Revision::Reader::getHash() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Update::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Revision::Builder::getHash()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Update::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Revision::Builder::setHash(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Update::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Revision::Builder::initHash(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Update::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Revision::Builder::adoptHash(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Update::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Revision::Builder::disownHash()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Update::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Update::Reader::hasHost() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Update::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Update::Builder::hasHost()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Update::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Text::Reader Update::Reader::getHost() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Update::Reader::getCounter() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::capnp::Text::Builder Update::Builder::getHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Update::Builder::getCounter() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Update::Builder::setHost(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Update::Builder::setCounter( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Text::Builder Update::Builder::initHost(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint8_t Update::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline void Update::Builder::adoptHost(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint8_t Update::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan<::capnp::Text> Update::Builder::disownHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Update::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+
+inline ::uint64_t Update::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::damaskgate::membership::wire::MemberMessage::Which MemberMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Builder::getIncarnation()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::damaskgate::membership::wire::MemberMessage::Which MemberMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void Update::Builder::setIncarnation(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MemberMessage::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Reader::getCounter() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberMessage::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Builder::getCounter()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MemberMessage::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setCounter(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberMessage::Reader::hasRevision() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberMessage::Builder::hasRevision() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::damaskgate::membership::wire::Revision::Reader MemberMessage::Reader::getRevision() const {
-  return ::capnp::_::PointerHelpers< ::damaskgate::membership::wire::Revision>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::damaskgate::membership::wire::Revision::Builder MemberMessage::Builder::getRevision() {
-  return ::capnp::_::PointerHelpers< ::damaskgate::membership::wire::Revision>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::damaskgate::membership::wire::Revision::Pipeline MemberMessage::Pipeline::getRevision() {
-  return  ::damaskgate::membership::wire::Revision::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void MemberMessage::Builder::setRevision( ::damaskgate::membership::wire::Revision::Reader value) {
-  ::capnp::_::PointerHelpers< ::damaskgate::membership::wire::Revision>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::damaskgate::membership::wire::Revision::Builder MemberMessage::Builder::initRevision() {
-  return ::capnp::_::PointerHelpers< ::damaskgate::membership::wire::Revision>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void MemberMessage::Builder::adoptRevision(
-    ::capnp::Orphan< ::damaskgate::membership::wire::Revision>&& value) {
-  ::capnp::_::PointerHelpers< ::damaskgate::membership::wire::Revision>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::damaskgate::membership::wire::Revision> MemberMessage::Builder::disownRevision() {
-  return ::capnp::_::PointerHelpers< ::damaskgate::membership::wire::Revision>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::uint8_t Update::Reader::getState() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberMessage::Reader::hasUpdates() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberMessage::Builder::hasUpdates() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Reader MemberMessage::Reader::getUpdates() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Builder MemberMessage::Builder::getUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void MemberMessage::Builder::setUpdates( ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline ::uint8_t Update::Builder::getState()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>::Builder MemberMessage::Builder::initUpdates(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void MemberMessage::Builder::adoptUpdates(
-    ::capnp::Orphan< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>> MemberMessage::Builder::disownUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::membership::wire::Update,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool MemberMessage::Reader::isProbe() const {
-  return which() == MemberMessage::PROBE;
-}
-inline bool MemberMessage::Builder::isProbe() {
-  return which() == MemberMessage::PROBE;
-}
-inline  ::capnp::Void MemberMessage::Reader::getProbe() const {
-  KJ_IREQUIRE((which() == MemberMessage::PROBE),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Update::Builder::setState(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::capnp::Void MemberMessage::Builder::getProbe() {
-  KJ_IREQUIRE((which() == MemberMessage::PROBE),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::damaskgate::membership::wire::MemberMessage::Which MemberMessage::Reader::which() const
+{
+    return _reader.getDataField<Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void MemberMessage::Builder::setProbe( ::capnp::Void value) {
-  _builder.setDataField<MemberMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, MemberMessage::PROBE);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::damaskgate::membership::wire::MemberMessage::Which MemberMessage::Builder::which()
+{
+    return _builder.getDataField<Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberMessage::Reader::isReply() const {
-  return which() == MemberMessage::REPLY;
-}
-inline bool MemberMessage::Builder::isReply() {
-  return which() == MemberMessage::REPLY;
-}
-inline  ::capnp::Void MemberMessage::Reader::getReply() const {
-  KJ_IREQUIRE((which() == MemberMessage::REPLY),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberMessage::Reader::getSequence() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void MemberMessage::Builder::getReply() {
-  KJ_IREQUIRE((which() == MemberMessage::REPLY),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberMessage::Builder::getSequence()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberMessage::Builder::setReply( ::capnp::Void value) {
-  _builder.setDataField<MemberMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, MemberMessage::REPLY);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void MemberMessage::Builder::setSequence(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberMessage::Reader::isIndirectTarget() const {
-  return which() == MemberMessage::INDIRECT_TARGET;
-}
-inline bool MemberMessage::Builder::isIndirectTarget() {
-  return which() == MemberMessage::INDIRECT_TARGET;
+inline bool MemberMessage::Reader::hasRevision() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberMessage::Reader::hasIndirectTarget() const {
-  if (which() != MemberMessage::INDIRECT_TARGET) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool MemberMessage::Builder::hasRevision()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberMessage::Builder::hasIndirectTarget() {
-  if (which() != MemberMessage::INDIRECT_TARGET) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline ::damaskgate::membership::wire::Revision::Reader MemberMessage::Reader::getRevision() const
+{
+    return ::capnp::_::PointerHelpers<::damaskgate::membership::wire::Revision>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Reader MemberMessage::Reader::getIndirectTarget() const {
-  KJ_IREQUIRE((which() == MemberMessage::INDIRECT_TARGET),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::damaskgate::membership::wire::Revision::Builder MemberMessage::Builder::getRevision()
+{
+    return ::capnp::_::PointerHelpers<::damaskgate::membership::wire::Revision>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberMessage::Builder::getIndirectTarget() {
-  KJ_IREQUIRE((which() == MemberMessage::INDIRECT_TARGET),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void MemberMessage::Builder::setIndirectTarget( ::capnp::Text::Reader value) {
-  _builder.setDataField<MemberMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, MemberMessage::INDIRECT_TARGET);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberMessage::Builder::initIndirectTarget(unsigned int size) {
-  _builder.setDataField<MemberMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, MemberMessage::INDIRECT_TARGET);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#if !CAPNP_LITE
+inline ::damaskgate::membership::wire::Revision::Pipeline MemberMessage::Pipeline::getRevision()
+{
+    return ::damaskgate::membership::wire::Revision::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void
+MemberMessage::Builder::setRevision(::damaskgate::membership::wire::Revision::Reader value)
+{
+    ::capnp::_::PointerHelpers<::damaskgate::membership::wire::Revision>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::damaskgate::membership::wire::Revision::Builder MemberMessage::Builder::initRevision()
+{
+    return ::capnp::_::PointerHelpers<::damaskgate::membership::wire::Revision>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberMessage::Builder::adoptIndirectTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<MemberMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, MemberMessage::INDIRECT_TARGET);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberMessage::Builder::adoptRevision(
+    ::capnp::Orphan<::damaskgate::membership::wire::Revision> &&value)
+{
+    ::capnp::_::PointerHelpers<::damaskgate::membership::wire::Revision>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::damaskgate::membership::wire::Revision>
+MemberMessage::Builder::disownRevision()
+{
+    return ::capnp::_::PointerHelpers<::damaskgate::membership::wire::Revision>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MemberMessage::Reader::hasUpdates() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberMessage::Builder::hasUpdates()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Reader
+MemberMessage::Reader::getUpdates() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Builder
+MemberMessage::Builder::getUpdates()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MemberMessage::Builder::setUpdates(
+    ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>::Builder
+MemberMessage::Builder::initUpdates(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberMessage::Builder::disownIndirectTarget() {
-  KJ_IREQUIRE((which() == MemberMessage::INDIRECT_TARGET),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-}  // namespace
-}  // namespace
-}  // namespace
+inline void MemberMessage::Builder::adoptUpdates(
+    ::capnp::Orphan<::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>
+MemberMessage::Builder::disownUpdates()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::membership::wire::Update, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MemberMessage::Reader::isProbe() const
+{
+    return which() == MemberMessage::PROBE;
+}
+inline bool MemberMessage::Builder::isProbe()
+{
+    return which() == MemberMessage::PROBE;
+}
+inline ::capnp::Void MemberMessage::Reader::getProbe() const
+{
+    KJ_IREQUIRE((which() == MemberMessage::PROBE),
+                "Must check which() before get()ing a union member.");
+    return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::capnp::Void MemberMessage::Builder::getProbe()
+{
+    KJ_IREQUIRE((which() == MemberMessage::PROBE),
+                "Must check which() before get()ing a union member.");
+    return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberMessage::Builder::setProbe(::capnp::Void value)
+{
+    _builder.setDataField<MemberMessage::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                                MemberMessage::PROBE);
+    _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberMessage::Reader::isReply() const
+{
+    return which() == MemberMessage::REPLY;
+}
+inline bool MemberMessage::Builder::isReply()
+{
+    return which() == MemberMessage::REPLY;
+}
+inline ::capnp::Void MemberMessage::Reader::getReply() const
+{
+    KJ_IREQUIRE((which() == MemberMessage::REPLY),
+                "Must check which() before get()ing a union member.");
+    return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::capnp::Void MemberMessage::Builder::getReply()
+{
+    KJ_IREQUIRE((which() == MemberMessage::REPLY),
+                "Must check which() before get()ing a union member.");
+    return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberMessage::Builder::setReply(::capnp::Void value)
+{
+    _builder.setDataField<MemberMessage::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                                MemberMessage::REPLY);
+    _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberMessage::Reader::isIndirectTarget() const
+{
+    return which() == MemberMessage::INDIRECT_TARGET;
+}
+inline bool MemberMessage::Builder::isIndirectTarget()
+{
+    return which() == MemberMessage::INDIRECT_TARGET;
+}
+inline bool MemberMessage::Reader::hasIndirectTarget() const
+{
+    if (which() != MemberMessage::INDIRECT_TARGET)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberMessage::Builder::hasIndirectTarget()
+{
+    if (which() != MemberMessage::INDIRECT_TARGET)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader MemberMessage::Reader::getIndirectTarget() const
+{
+    KJ_IREQUIRE((which() == MemberMessage::INDIRECT_TARGET),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder MemberMessage::Builder::getIndirectTarget()
+{
+    KJ_IREQUIRE((which() == MemberMessage::INDIRECT_TARGET),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MemberMessage::Builder::setIndirectTarget(::capnp::Text::Reader value)
+{
+    _builder.setDataField<MemberMessage::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                                MemberMessage::INDIRECT_TARGET);
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder MemberMessage::Builder::initIndirectTarget(unsigned int size)
+{
+    _builder.setDataField<MemberMessage::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                                MemberMessage::INDIRECT_TARGET);
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MemberMessage::Builder::adoptIndirectTarget(::capnp::Orphan<::capnp::Text> &&value)
+{
+    _builder.setDataField<MemberMessage::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                                MemberMessage::INDIRECT_TARGET);
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> MemberMessage::Builder::disownIndirectTarget()
+{
+    KJ_IREQUIRE((which() == MemberMessage::INDIRECT_TARGET),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+} // namespace wire
+} // namespace membership
+} // namespace damaskgate
 
 CAPNP_END_HEADER
-
--- a/src/membership/membershipservice.cpp
+++ b/src/membership/membershipservice.cpp
@@ -1,5 +1,6 @@
 #include "damaskgate/membership/membershipservice.h"
 
+#include <iterator>
 #include <optional>
 #include <ranges>
 #include <utility>
@@ -11,16 +12,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod { 50 };
-constexpr std::size_t PrefixDigits = 16;
-
-RevisionMark markOf(const settings::Revision &revision)
-{
-    const std::string prefix = revision.hash.substr(0, PrefixDigits);
-    const bool isHex = prefix.find_first_not_of("0123456789abcdef") == std::string::npos;
-    const std::uint64_t value = prefix.empty() || !isHex ? 0 : std::stoull(prefix, nullptr, 16);
-    return RevisionMark { revision.number, value };
-}
-
 } // namespace
 
 MembershipService::MembershipService(boost::asio::io_context &context, const core::IClock &clock,
@@ -50,7 +41,7 @@
     std::vector<core::HostName> hosts;
     std::ranges::copy(settings.hosts | std::views::keys, std::back_inserter(hosts));
     this->members.applyRoster(hosts);
-    this->members.setRevision(markOf(settings.revision));
+    this->members.setRevision(settings.revision);
     this->notifyChanges();
 }
 
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -49,9 +49,9 @@
     ++this->changes;
 }
 
-void MemberTable::setRevision(const RevisionMark &mark)
+void MemberTable::setRevision(const settings::Revision &revision)
 {
-    this->ownRevision = mark;
+    this->ownRevision = revision;
 }
 
 std::vector<OutgoingMessage> MemberTable::tick(core::Instant now)
@@ -136,7 +136,7 @@
     return live;
 }
 
-std::optional<std::pair<core::HostName, RevisionMark>> MemberTable::newerRevision() const
+std::optional<std::pair<core::HostName, settings::Revision>> MemberTable::newerRevision() const
 {
     if (this->highestRevision <= this->ownRevision) {
         return std::nullopt;
@@ -144,13 +144,17 @@
     return std::pair(this->highestRevisionHost, this->highestRevision);
 }
 
-double MemberTable::contactFraction() const
+std::optional<core::Instant> MemberTable::contactSince() const
 {
-    if (this->recentContacts.empty()) {
-        return 1.0;
+    const std::size_t others = this->members.size() - 1;
+    const std::size_t needed = std::min<std::size_t>(this->options.contactAnswers, others);
+    if (needed == 0 || this->answeredProbes.size() < needed) {
+        return std::nullopt;
+    }
+    if (this->contactFraction(this->options.contactWindow) < MinimumContact) {
+        return std::nullopt;
     }
-    const auto answered = std::ranges::count(this->recentContacts, true);
-    return static_cast<double>(answered) / static_cast<double>(this->recentContacts.size());
+    return this->answeredProbes[this->answeredProbes.size() - needed];
 }
 
 std::uint64_t MemberTable::changeCount() const
@@ -182,8 +186,8 @@
         return { { asked.asker, ProbeReply { asked.askerSequence, this->ownRevision, {} } } };
     }
     if (this->pending && this->pending->sequence == reply.sequence) {
+        this->recordContact(true, this->pending->sentAt);
         this->pending.reset();
-        this->recordContact(true);
     }
     return {};
 }
@@ -211,12 +215,12 @@
     }
 }
 
-void MemberTable::onRevisionHeard(const core::HostName &host, const RevisionMark &mark)
+void MemberTable::onRevisionHeard(const core::HostName &host, const settings::Revision &revision)
 {
-    if (mark > this->highestRevision) {
-        this->highestRevision = mark;
+    if (revision > this->highestRevision) {
+        this->highestRevision = revision;
         this->highestRevisionHost = host;
-    } else if (mark == this->highestRevision) {
+    } else if (revision == this->highestRevision) {
         // The latest teller is the one most likely to answer a fetch.
         this->highestRevisionHost = host;
     }
@@ -231,7 +235,7 @@
     const std::uint64_t sequence = this->nextSequence++;
     const core::Instant replyDue = now + this->options.replyTimeout;
     const core::Instant giveUpAt = now + this->options.probePeriod - this->options.replyTimeout / 2;
-    this->pending = PendingProbe { *target, sequence, replyDue, giveUpAt, false };
+    this->pending = PendingProbe { *target, sequence, now, replyDue, giveUpAt, false };
     out.push_back({ *target, Probe { sequence, this->ownRevision, this->takeUpdates() } });
 }
 
@@ -241,12 +245,10 @@
         return;
     }
     if (now >= this->pending->giveUpAt) {
-        const core::HostName target = this->pending->target;
-        this->pending.reset();
-        const bool wasExpected = this->stateOf(target) != MemberState::Dead;
-        if (wasExpected) {
-            this->recordContact(false);
-            this->suspect(target);
+        const PendingProbe failed = *std::exchange(this->pending, std::nullopt);
+        if (this->stateOf(failed.target) != MemberState::Dead) {
+            this->recordContact(false, failed.sentAt);
+            this->suspect(failed.target);
         }
         return;
     }
@@ -278,7 +280,7 @@
 
 void MemberTable::suspect(const core::HostName &host)
 {
-    if (this->contactFraction() < MinimumContact) {
+    if (this->contactFraction(this->options.ownLinkWindow) < MinimumContact) {
         // Most probes fail: the own links are the likelier cause.
         return;
     }
@@ -296,8 +298,26 @@
     }
 }
 
-void MemberTable::recordContact(bool isAnswered)
+double MemberTable::contactFraction(std::size_t probes) const
+{
+    const std::size_t count = std::min(probes, this->recentContacts.size());
+    if (count == 0) {
+        return 1.0;
+    }
+    const auto recent =
+        this->recentContacts | std::views::drop(this->recentContacts.size() - count);
+    const auto answered = std::ranges::count(recent, true);
+    return static_cast<double>(answered) / static_cast<double>(count);
+}
+
+void MemberTable::recordContact(bool isAnswered, core::Instant sentAt)
 {
+    if (isAnswered) {
+        this->answeredProbes.push_back(sentAt);
+        if (this->answeredProbes.size() > this->options.contactAnswers) {
+            this->answeredProbes.pop_front();
+        }
+    }
     this->recentContacts.push_back(isAnswered);
     if (this->recentContacts.size() > this->options.contactWindow) {
         this->recentContacts.pop_front();
--- a/src/membership/tests/membercodec_test.cpp
+++ b/src/membership/tests/membercodec_test.cpp
@@ -9,7 +9,7 @@
 {
     // [GIVEN] A probe with news
     const MemberUpdate update { core::HostName("b"), 7, 2, MemberState::Leaving };
-    const Probe probe { 42, { 9, 0xfeed }, { update } };
+    const Probe probe { 42, { 9, "feed" }, { update } };
 
     // [WHEN] It is encoded and decoded
     const auto decoded = decode(encode(probe));
--- a/src/membership/tests/membertable_test.cpp
+++ b/src/membership/tests/membertable_test.cpp
@@ -214,7 +214,7 @@
 
     // [THEN] It knows that it has no contact and does not declare the fleet dead
     const MemberTable &table = fleet.tables.at(lonely);
-    EXPECT_LT(table.contactFraction(), 0.5);
+    EXPECT_FALSE(table.contactSince().has_value());
     EXPECT_GE(table.liveHosts().size(), FleetSize - 6);
     EXPECT_EQ(fleet.countSeeing(MemberState::Dead, lonely), FleetSize - 1);
 }
@@ -278,7 +278,7 @@
     // [GIVEN] One host with newer settings, taken by each host that hears of them
     Fleet fleet(FleetSize);
     fleet.run(5s);
-    const RevisionMark newest { 8, 1 };
+    const settings::Revision newest { 8, "01" };
     fleet.tables.at(fleet.names[0]).setRevision(newest);
 
     // [WHEN] 4 s pass
