--- a/src/timeline/include/damaskgate/timeline/timeline.h
+++ b/src/timeline/include/damaskgate/timeline/timeline.h
@@ -32,11 +32,11 @@
 /** Which entries to show; empty members let everything pass. */
 struct TimelineFilter
 {
-    std::string trace; //!< value of the field `trace`
-    std::string host;
-    std::string event;
-    std::optional<HybridTime> from;
-    std::optional<HybridTime> until; //!< exclusive
+    std::string trace {}; //!< value of the field `trace`
+    std::string host {};
+    std::string event {};
+    std::optional<HybridTime> from {};
+    std::optional<HybridTime> until {}; //!< exclusive
 
     bool matches(const TimelineEntry &entry) const;
 };
@@ -64,10 +64,10 @@
 /** Arguments of the operators' `timeline` command. */
 struct TimelineCommand
 {
-    std::vector<std::string> paths; //!< log files; `-` is the standard input
-    TimelineFilter filter;
+    std::vector<std::string> paths {}; //!< log files; `-` is the standard input
+    TimelineFilter filter {};
     bool asPage = false;
-    std::string output; //!< file to write; empty: the standard output
+    std::string output {}; //!< file to write; empty: the standard output
 };
 
 /**
