balance: fair service queue, endpoint choice, balancer

The daemon needs an IBalancer to be wired to. ServiceQueue shares a bounded queue fairly (start-time fair queueing by weight, deferrable requests give way, the workspace with most queued for its weight loses its newest when full). EndpointPicker takes the endpoint with the fewest own requests in flight.

--- /dev/null
+++ b/src/balance/coldlease.cpp
@@ -0,0 +1,143 @@
+#include "coldlease.h"
+
+#include <algorithm>
+
+namespace damaskgate::balance {
+
+namespace {
+
+constexpr std::size_t EndpointsPerRequest = 8; //!< keeps the datagram below 1,200 bytes
+constexpr std::size_t SentLimit = 64; //!< requests whose answers are still accepted
+constexpr std::uint32_t DoubtfulLimit = 1;
+
+} // namespace
+
+void ColdLease::applySettings(core::Duration newRamp, const std::set<core::EndpointName> &endpoints)
+{
+    this->ramp = newRamp;
+    std::erase_if(this->states,
+                  [&](const auto &entry) { return !endpoints.contains(entry.first); });
+    std::ranges::for_each(endpoints, [this](const auto &endpoint) { this->states[endpoint]; });
+}
+
+std::uint32_t ColdLease::limit(const core::EndpointName &endpoint, std::uint32_t slots,
+                               core::Instant now) const
+{
+    const auto found = this->states.find(endpoint);
+    if (found == this->states.end()) {
+        return 0;
+    }
+    const State &state = found->second;
+    if (this->ramp == core::Duration::zero() || state.temperature == Temperature::Warm) {
+        return slots;
+    }
+    if (state.temperature == Temperature::Doubtful) {
+        return std::min(slots, DoubtfulLimit);
+    }
+    return now < state.quotaEnd ? std::min(slots, state.quota) : 0;
+}
+
+void ColdLease::change(State &state, Temperature temperature)
+{
+    state.temperature = temperature;
+    state.changedAt = this->sequence + 1;
+}
+
+void ColdLease::onAnswer(const core::EndpointName &endpoint,
+                         std::optional<std::uint64_t> incarnation)
+{
+    const auto found = this->states.find(endpoint);
+    if (found == this->states.end()) {
+        return;
+    }
+    State &state = found->second;
+    const bool isNew = incarnation && state.incarnation != 0 && state.incarnation != *incarnation;
+    state.incarnation = incarnation.value_or(state.incarnation);
+    if (isNew) {
+        state.servedFor = {};
+        state.quota = 0;
+        this->change(state, Temperature::Cold);
+        return;
+    }
+    if (state.temperature == Temperature::Doubtful) {
+        this->change(state, Temperature::Warm);
+    }
+}
+
+void ColdLease::onConnectionLost(const core::EndpointName &endpoint)
+{
+    const auto found = this->states.find(endpoint);
+    if (found != this->states.end() && found->second.temperature == Temperature::Warm) {
+        this->change(found->second, Temperature::Doubtful);
+    }
+}
+
+void ColdLease::onReadmitted(const core::EndpointName &endpoint)
+{
+    const auto found = this->states.find(endpoint);
+    if (found != this->states.end()) {
+        found->second.servedFor = {};
+        found->second.quota = 0;
+        this->change(found->second, Temperature::Cold);
+    }
+}
+
+std::vector<SlotRequest>
+ColdLease::makeRequests(const core::ServiceName &service, core::Instant now,
+                        const std::function<Counts(const core::EndpointName &)> &counts)
+{
+    std::vector<SlotRequest> requests;
+    for (const auto &[endpoint, state] : this->states) {
+        if (requests.empty() || requests.back().endpoints.size() == EndpointsPerRequest) {
+            requests.push_back({ service, ++this->sequence, {} });
+            this->sent.push_back({ this->sequence, now });
+        }
+        const Counts count = counts(endpoint);
+        const std::uint32_t quota = now < state.quotaEnd ? state.quota : 0;
+        requests.back().endpoints.push_back({ endpoint, state.temperature, state.servedFor,
+                                              state.incarnation, state.appliedSequence, quota,
+                                              count.inFlight, count.wanted });
+    }
+    while (this->sent.size() > SentLimit) {
+        this->sent.pop_front();
+    }
+    return requests;
+}
+
+void ColdLease::onAnswer(const SlotAnswer &answer)
+{
+    const auto request = std::ranges::find(this->sent, answer.sequence, &Sent::sequence);
+    if (request == this->sent.end() || answer.epoch < this->epoch) {
+        return;
+    }
+    this->epoch = answer.epoch;
+    for (const EndpointQuota &quota : answer.endpoints) {
+        this->applyQuota(quota, *request);
+    }
+}
+
+void ColdLease::applyQuota(const EndpointQuota &quota, const Sent &request)
+{
+    const auto found = this->states.find(quota.endpoint);
+    if (found == this->states.end()) {
+        return;
+    }
+    State &state = found->second;
+    //! NOTE an answer to a request that did not yet tell the latest change must not undo it
+    if (request.sequence <= state.appliedSequence || request.sequence < state.changedAt) {
+        return;
+    }
+    state.appliedSequence = request.sequence;
+    state.temperature = quota.temperature;
+    state.servedFor = quota.servedFor;
+    state.quota = quota.quota;
+    state.quotaEnd = request.at + GrantTime;
+}
+
+Temperature ColdLease::temperature(const core::EndpointName &endpoint) const
+{
+    const auto found = this->states.find(endpoint);
+    return found == this->states.end() ? Temperature::Unknown : found->second.temperature;
+}
+
+} // namespace damaskgate::balance
--- /dev/null
+++ b/src/balance/endpointpicker.cpp
@@ -0,0 +1,122 @@
+#include "endpointpicker.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <ranges>
+#include <vector>
+
+namespace damaskgate::balance {
+
+namespace {
+
+bool isInService(const settings::Settings &settings, const settings::Endpoint &endpoint)
+{
+    const auto domain = settings.domains.find(endpoint.domain);
+    const bool isDomainInService = domain == settings.domains.end() || domain->second.isInService;
+    return endpoint.isInService && isDomainInService;
+}
+
+} // namespace
+
+void EndpointPicker::applySettings(const settings::Settings &settings,
+                                   const settings::Service &service)
+{
+    this->slots = service.slots;
+    this->candidates.clear();
+    std::set<core::EndpointName> inService;
+    for (const auto &[name, endpoint] : service.endpoints) {
+        if (isInService(settings, endpoint)) {
+            this->candidates.emplace(name, endpoint);
+            inService.insert(name);
+        }
+    }
+    this->lease.applySettings(service.rampTime, inService);
+}
+
+void EndpointPicker::setEjected(const std::set<core::EndpointName> &endpoints)
+{
+    for (const core::EndpointName &endpoint : this->ejected) {
+        if (!endpoints.contains(endpoint)) {
+            this->lease.onReadmitted(endpoint);
+        }
+    }
+    this->ejected = endpoints;
+}
+
+bool EndpointPicker::isCandidate(const core::EndpointName &endpoint,
+                                 std::span<const core::EndpointName> excluded) const
+{
+    return !this->ejected.contains(endpoint)
+        && std::ranges::find(excluded, endpoint) == excluded.end();
+}
+
+bool EndpointPicker::hasCandidate(std::span<const core::EndpointName> excluded) const
+{
+    return std::ranges::any_of(this->candidates | std::views::keys, [&](const auto &endpoint) {
+        return this->isCandidate(endpoint, excluded);
+    });
+}
+
+std::optional<core::EndpointName> EndpointPicker::pick(std::span<const core::EndpointName> excluded,
+                                                       core::Instant now,
+                                                       std::mt19937_64 &random) const
+{
+    std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
+    std::vector<const core::EndpointName *> best;
+    for (const auto &name : this->candidates | std::views::keys) {
+        const std::uint32_t running = this->inFlight(name);
+        const bool isFree = running < this->lease.limit(name, this->slots, now);
+        if (!isFree || running > fewest || !this->isCandidate(name, excluded)) {
+            continue;
+        }
+        if (running < fewest) {
+            best.clear();
+        }
+        fewest = running;
+        best.push_back(&name);
+    }
+    if (best.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> index(0, best.size() - 1);
+    return *best[index(random)];
+}
+
+settings::Endpoint EndpointPicker::take(const core::EndpointName &endpoint)
+{
+    ++this->busy[endpoint];
+    return this->candidates.at(endpoint);
+}
+
+void EndpointPicker::release(const core::EndpointName &endpoint)
+{
+    const auto found = this->busy.find(endpoint);
+    if (found != this->busy.end() && --found->second == 0) {
+        this->busy.erase(found);
+    }
+}
+
+std::uint32_t EndpointPicker::inFlight(const core::EndpointName &endpoint) const
+{
+    const auto found = this->busy.find(endpoint);
+    return found == this->busy.end() ? 0 : found->second;
+}
+
+std::uint32_t EndpointPicker::inFlight() const
+{
+    const auto counts = this->busy | std::views::values;
+    return std::accumulate(counts.begin(), counts.end(), std::uint32_t { 0 });
+}
+
+std::uint32_t EndpointPicker::slotsPerEndpoint() const
+{
+    return this->slots;
+}
+
+ColdLease &EndpointPicker::coldLease()
+{
+    return this->lease;
+}
+
+} // namespace damaskgate::balance
--- /dev/null
+++ b/src/balance/tests/balancer_test.cpp
@@ -0,0 +1,226 @@
+#include "damaskgate/balance/balancer.h"
+
+#include <algorithm>
+#include <memory>
+
+#include <gtest/gtest.h>
+
+using namespace damaskgate;
+using namespace damaskgate::balance;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::ServiceName Stundaskra("stundaskra");
+
+class Balancer_Tests : public testing::Test
+{
+protected:
+    Balancer_Tests()
+    {
+        this->settings.domains[core::DomainName("vesturbaer")].name =
+            core::DomainName("vesturbaer");
+        settings::Service &service = this->settings.services[Stundaskra];
+        service.name = Stundaskra;
+        service.slots = 2;
+        service.queueLimit = 4;
+        this->addEndpoint("s-1");
+        this->addEndpoint("s-2");
+        this->apply();
+    }
+
+    settings::Endpoint &addEndpoint(const char *name)
+    {
+        settings::Endpoint &endpoint =
+            this->settings.services[Stundaskra].endpoints[core::EndpointName(name)];
+        endpoint.name = core::EndpointName(name);
+        endpoint.domain = core::DomainName("vesturbaer");
+        return endpoint;
+    }
+
+    void apply()
+    {
+        this->balancer.applySettings(std::make_shared<settings::Settings>(this->settings));
+    }
+
+    std::uint64_t acquire(const char *workspace, core::Duration timeout = 10s)
+    {
+        WorkRequest request;
+        request.service = Stundaskra;
+        request.workspace = core::WorkspaceName(workspace);
+        request.deadline = this->clock.now() + timeout;
+        return this->acquire(request);
+    }
+
+    std::uint64_t acquire(const WorkRequest &request)
+    {
+        return this->balancer.acquire(request, [this, request](core::Result<SlotGrant> result) {
+            if (result) {
+                this->grants.push_back(*result);
+                this->servedWorkspaces.push_back(request.workspace.text());
+                return;
+            }
+            EXPECT_EQ(result.error().verdict, core::Verdict::NotRun);
+            this->refusals.push_back(result.error().reason);
+        });
+    }
+
+    void releaseFirst()
+    {
+        const std::uint64_t id = this->grants.front().id;
+        this->grants.erase(this->grants.begin());
+        this->balancer.release(id, { Outcome::Answered, 10ms, {} });
+    }
+
+    core::ManualClock clock;
+    Balancer balancer { this->clock, 1 };
+    settings::Settings settings;
+    std::vector<SlotGrant> grants;
+    std::vector<std::string> servedWorkspaces;
+    std::vector<core::Reason> refusals;
+};
+
+} // namespace
+
+TEST_F(Balancer_Tests, Acquire_MoreThanSlots_NeverExceedsSlotsOfAnEndpoint)
+{
+    // [WHEN] More requests arrive than the two endpoints have slots
+    for (int i = 0; i < 6; ++i) {
+        this->acquire("a");
+    }
+
+    // [THEN] Each endpoint has exactly its slots in flight, the rest waits
+    EXPECT_EQ(this->balancer.inFlight(Stundaskra, core::EndpointName("s-1")), 2U);
+    EXPECT_EQ(this->balancer.inFlight(Stundaskra, core::EndpointName("s-2")), 2U);
+    EXPECT_EQ(this->balancer.queued(Stundaskra), 2U);
+}
+
+TEST_F(Balancer_Tests, ApplySettings_DomainOutOfService_GetsNoNewWorkAtOnce)
+{
+    // [GIVEN] A second domain and the first taken out while requests wait
+    this->addEndpoint("s-3").domain = core::DomainName("breidholt");
+    this->apply();
+    for (int i = 0; i < 7; ++i) {
+        this->acquire("a");
+    }
+    this->grants.clear();
+    this->settings.domains[core::DomainName("vesturbaer")].isInService = false;
+
+    // [WHEN] The settings are in force and a slot of the domain in service is free
+    this->apply();
+    this->acquire("a");
+
+    // [THEN] Nothing was granted in the domain out of service
+    EXPECT_TRUE(std::ranges::none_of(this->grants, [](const SlotGrant &grant) {
+        return grant.endpoint.domain == core::DomainName("vesturbaer");
+    }));
+}
+
+TEST_F(Balancer_Tests, SetEjected_AllEndpoints_RefusesWaitingRequests)
+{
+    // [GIVEN] A request that waits
+    for (int i = 0; i < 5; ++i) {
+        this->acquire("a");
+    }
+
+    // [WHEN] No endpoint is left
+    this->balancer.setEjected(Stundaskra, { core::EndpointName("s-1"), core::EndpointName("s-2") });
+
+    // [THEN] It is refused without having run, as is a new one
+    this->acquire("a");
+    EXPECT_EQ(this->refusals, (std::vector { core::Reason::NoEndpoint, core::Reason::NoEndpoint }));
+}
+
+TEST_F(Balancer_Tests, Tick_DeadlinePassed_RefusesWaitingRequest)
+{
+    // [GIVEN] All slots held and one request that waits for at most 100 ms
+    for (int i = 0; i < 4; ++i) {
+        this->acquire("a");
+    }
+    EXPECT_NE(this->acquire("a", 100ms), 0U);
+
+    // [WHEN] The time has passed
+    this->clock.advance(100ms);
+    this->balancer.tick();
+
+    // [THEN] It is refused
+    EXPECT_EQ(this->refusals, std::vector { core::Reason::DeadlineTooShort });
+    EXPECT_EQ(this->balancer.queued(Stundaskra), 0U);
+}
+
+TEST_F(Balancer_Tests, Acquire_WaitExceedsDeadline_IsRefusedAtOnce)
+{
+    // [GIVEN] Exchanges that hold a slot for 200 ms, and a queue
+    for (int i = 0; i < 4; ++i) {
+        this->acquire("a");
+    }
+    this->clock.advance(200ms);
+    for (int i = 0; i < 4; ++i) {
+        this->acquire("a");
+    }
+    this->releaseFirst();
+
+    // [WHEN] Requests of another workspace have too little and enough time left
+    this->acquire("b", 20ms);
+    this->acquire("b", 1s);
+
+    // [THEN] Only the first is refused
+    EXPECT_EQ(this->refusals, std::vector { core::Reason::DeadlineTooShort });
+}
+
+TEST_F(Balancer_Tests, Acquire_QueueFull_DropsNewestOfTheWorkspaceWithMost)
+{
+    // [GIVEN] A queue filled by one workspace
+    for (int i = 0; i < 8; ++i) {
+        this->acquire("greedy");
+    }
+
+    // [WHEN] Another and the same workspace send one more
+    EXPECT_NE(this->acquire("modest"), 0U);
+    EXPECT_EQ(this->acquire("greedy"), 0U);
+
+    // [THEN] The modest one is served next but one at the latest
+    this->releaseFirst();
+    this->releaseFirst();
+    EXPECT_EQ(this->refusals, (std::vector { core::Reason::QueueFull, core::Reason::QueueFull }));
+    EXPECT_EQ(std::ranges::count(this->servedWorkspaces, "modest"), 1);
+}
+
+TEST_F(Balancer_Tests, Acquire_DeferrableRequests_GiveWay)
+{
+    // [GIVEN] A deferrable request that waits before another one
+    for (int i = 0; i < 4; ++i) {
+        this->acquire("a");
+    }
+    WorkRequest deferrable;
+    deferrable.service = Stundaskra;
+    deferrable.workspace = core::WorkspaceName("later");
+    deferrable.isDeferrable = true;
+    deferrable.deadline = this->clock.now() + 10s;
+    this->acquire(deferrable);
+    this->acquire("b");
+
+    // [WHEN] Slots become free
+    this->releaseFirst();
+    this->releaseFirst();
+
+    // [THEN] The other one is served first
+    EXPECT_EQ(this->servedWorkspaces,
+              (std::vector<std::string> { "a", "a", "a", "a", "b", "later" }));
+}
+
+TEST_F(Balancer_Tests, Cancel_WaitingRequest_NeverCallsDone)
+{
+    // [GIVEN] A request that waits and is cancelled
+    for (int i = 0; i < 4; ++i) {
+        this->acquire("a");
+    }
+    this->balancer.cancel(this->acquire("b"));
+
+    // [WHEN] A slot becomes free
+    this->releaseFirst();
+
+    // [THEN] Nobody gets it
+    EXPECT_EQ(this->grants.size(), 3U);
+    EXPECT_TRUE(this->refusals.empty());
+}
