health: ejections that keep the floor over the union of all hosts

Hosts apply ejections late, and owners change, so the set ejected somewhere is larger than any one list.

--- /dev/null
+++ b/src/health/floor.cpp
@@ -0,0 +1,46 @@
+#include "damaskgate/health/floor.h"
+
+#include <cmath>
+
+namespace damaskgate::health {
+
+namespace {
+
+constexpr double RoundingMargin = 1e-9; //!< keeps 0.2 * 15 from becoming 4
+
+bool isDomainInService(const settings::Settings &settings, const core::DomainName &name)
+{
+    const auto domain = settings.domains.find(name);
+    return domain == settings.domains.end() || domain->second.isInService;
+}
+
+} // namespace
+
+Floor::Floor(const settings::Settings &settings, const settings::Service &service)
+{
+    const auto listed = static_cast<double>(service.endpoints.size());
+    const double exact = service.healthyFloor * listed;
+    this->required = static_cast<std::size_t>(std::ceil(exact - RoundingMargin));
+    for (const auto &[name, endpoint] : service.endpoints) {
+        if (endpoint.isInService && isDomainInService(settings, endpoint.domain)) {
+            this->endpoints.insert(name);
+        }
+    }
+}
+
+std::size_t Floor::allowedEjections() const
+{
+    return this->endpoints.size() > this->required ? this->endpoints.size() - this->required : 0;
+}
+
+bool Floor::isInService(const core::EndpointName &endpoint) const
+{
+    return this->endpoints.contains(endpoint);
+}
+
+const std::set<core::EndpointName> &Floor::inService() const
+{
+    return this->endpoints;
+}
+
+} // namespace damaskgate::health
--- /dev/null
+++ b/src/health/include/damaskgate/health/ejectionview.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <set>
+#include <vector>
+
+#include "damaskgate/core/names.h"
+#include "damaskgate/core/time.h"
+
+#include "damaskgate/health/floor.h"
+#include "damaskgate/health/healthmessages.h"
+
+namespace damaskgate::health {
+
+/** The ejections of one service that one entry host keeps to. */
+class EjectionView
+{
+public:
+    void applyFloor(const Floor &floor);
+
+    /** A report with @p sequence is sent; its answer is in force for EjectionTime from now. */
+    void onReportSent(std::uint64_t sequence, core::Instant now);
+
+    /** Applies @p news; older epochs, older answers and expired ones are ignored. */
+    void onNews(const EjectionNews &news, core::Instant now);
+
+    /** @return the endpoints not to be used, never more than the floor of this host allows. */
+    std::set<core::EndpointName> ejected(core::Instant now) const;
+
+private:
+    struct Sent
+    {
+        std::uint64_t sequence = 0;
+        core::Instant at;
+    };
+
+    Floor floor;
+    std::deque<Sent> sent;
+    std::uint64_t epoch = 0;
+    std::uint64_t answered = 0;
+    core::Instant end;
+    std::vector<core::EndpointName> endpoints;
+};
+
+} // namespace damaskgate::health
--- /dev/null
+++ b/src/health/tests/ejection_test.cpp
@@ -0,0 +1,129 @@
+#include <gtest/gtest.h>
+
+#include "damaskgate/health/ejectionplanner.h"
+#include "damaskgate/health/ejectionview.h"
+
+using namespace damaskgate;
+using namespace damaskgate::health;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::EndpointName First("e-0");
+const core::EndpointName Second("e-1");
+
+Floor makeFloor(std::size_t endpoints, double fraction, std::size_t outOfService = 0)
+{
+    settings::Service service;
+    service.healthyFloor = fraction;
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        const core::EndpointName name("e-" + std::to_string(i));
+        service.endpoints[name].isInService = i + outOfService < endpoints;
+    }
+    return { settings::Settings {}, service };
+}
+
+EjectionNews makeNews(std::uint64_t epoch, std::uint64_t sequence, const core::EndpointName &name)
+{
+    return { core::ServiceName("vitrin"), epoch, sequence, { name }, DefaultSlowLimit };
+}
+
+const core::Instant Start { 1h };
+
+} // namespace
+
+TEST(Floor_Tests, AllowedEjections_ListedAndInService_CountsAgainstAllListed)
+{
+    EXPECT_EQ(makeFloor(6, 0.5).allowedEjections(), 3U);
+    EXPECT_EQ(makeFloor(15, 0.2).allowedEjections(), 12U);
+    EXPECT_EQ(makeFloor(13, 0.5).allowedEjections(), 6U);
+    EXPECT_EQ(makeFloor(6, 0.5, 2).allowedEjections(), 1U);
+    EXPECT_EQ(makeFloor(6, 0.5, 4).allowedEjections(), 0U);
+    EXPECT_EQ(makeFloor(6, 1).allowedEjections(), 0U);
+}
+
+TEST(EjectionPlanner_Tests, TryEject_NewOwner_WaitsForThePredecessorsNews)
+{
+    // [GIVEN] An owner since now
+    EjectionPlanner planner(Start);
+    planner.applyFloor(makeFloor(2, 0.5));
+
+    // [THEN] It ejects only when no news of its predecessor can be in force
+    EXPECT_FALSE(planner.tryEject(First, Start + EjectionTime));
+    EXPECT_TRUE(planner.tryEject(First, Start + EjectionTime + ClockDriftMargin));
+}
+
+TEST(EjectionPlanner_Tests, TryEject_ReadmittedButInForceElsewhere_KeepsTheFloor)
+{
+    // [GIVEN] A published ejection that is taken back
+    EjectionPlanner planner(Start - 1h);
+    planner.applyFloor(makeFloor(2, 0.5));
+    ASSERT_TRUE(planner.tryEject(First, Start));
+    planner.publish(Start);
+    planner.readmit(First);
+
+    // [THEN] Another is ejected only when the news has expired everywhere
+    EXPECT_FALSE(planner.tryEject(Second, Start + EjectionTime));
+    EXPECT_TRUE(planner.tryEject(Second, Start + EjectionTime + ClockDriftMargin));
+}
+
+TEST(EjectionPlanner_Tests, ApplyFloor_DomainTakenOut_ReadmitsTheLatest)
+{
+    // [GIVEN] Three of six ejected at a floor of one half
+    EjectionPlanner planner(Start - 1h);
+    planner.applyFloor(makeFloor(6, 0.5));
+    for (const char *name : { "e-1", "e-0", "e-2" }) {
+        ASSERT_TRUE(planner.tryEject(core::EndpointName(name), Start));
+    }
+
+    // [WHEN] Two others go out of service
+    planner.applyFloor(makeFloor(6, 0.5, 2));
+
+    // [THEN] Only the earliest ejection stays
+    EXPECT_TRUE(planner.isEjected(Second));
+    EXPECT_FALSE(planner.isEjected(First));
+}
+
+TEST(EjectionView_Tests, Ejected_ExpiredNews_IsEmpty)
+{
+    // [GIVEN] News in answer to a report
+    EjectionView view;
+    view.applyFloor(makeFloor(2, 0.5));
+    view.onReportSent(1, Start);
+    view.onNews(makeNews(1, 1, First), Start + 100ms);
+
+    // [THEN] It holds for EjectionTime from the report on
+    EXPECT_EQ(view.ejected(Start + EjectionTime - 1ms), std::set { First });
+    EXPECT_TRUE(view.ejected(Start + EjectionTime).empty());
+}
+
+TEST(EjectionView_Tests, OnNews_OldEpochOrLate_IsIgnored)
+{
+    // [GIVEN] News of epoch 2 in answer to the second report
+    EjectionView view;
+    view.applyFloor(makeFloor(2, 0.5));
+    view.onReportSent(1, Start);
+    view.onReportSent(2, Start + 10ms);
+    view.onReportSent(3, Start + 20ms);
+    view.onNews(makeNews(2, 2, First), Start + 30ms);
+
+    // [WHEN] News of an older owner, to an older report, and to an unknown report come
+    view.onNews(makeNews(1, 3, Second), Start + 40ms);
+    view.onNews(makeNews(2, 1, Second), Start + 40ms);
+    view.onNews(makeNews(2, 9, Second), Start + 40ms);
+
+    // [THEN] Nothing has changed
+    EXPECT_EQ(view.ejected(Start + 50ms), std::set { First });
+}
+
+TEST(EjectionView_Tests, Ejected_OwnSettingsAllowLess_KeepsTheFloorOfThisHost)
+{
+    // [GIVEN] News that ejects two and settings of this host that allow one
+    EjectionView view;
+    view.applyFloor(makeFloor(3, 0.5));
+    view.onReportSent(1, Start);
+    view.onNews({ core::ServiceName("vitrin"), 1, 1, { Second, First }, DefaultSlowLimit }, Start);
+
+    // [THEN] The most certain one is ejected
+    EXPECT_EQ(view.ejected(Start + 1ms), std::set { Second });
+}
