--- a/src/settings/include/damaskgate/settings/freshnessguard.h
+++ b/src/settings/include/damaskgate/settings/freshnessguard.h
@@ -32,8 +32,8 @@
 
     /**
      * @return until when keyed requests may be admitted. Compare with the current time at every
-     *         use: a process that was frozen wakes after this instant. Instant::max() without
-     *         peers, and the lowest instant before anything was heard.
+     *         use: a process that was frozen wakes after this instant. Instant::max() when the
+     *         sample is known to be empty, and the lowest instant before anything was heard.
      */
     core::Instant freshUntil() const;
 
@@ -44,6 +44,7 @@
     std::optional<core::Instant> lastHeardFromHalf() const;
 
     core::Duration limit;
+    bool isSampleKnown = false;
     std::optional<core::Instant> platformAnswered;
     std::map<core::HostName, std::optional<core::Instant>> peers;
 };
