--- /dev/null
+++ b/src/entry/answerhead.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "damaskgate/balance/balancetypes.h"
+
+#include "httptypes.h"
+
+namespace damaskgate::entry {
+
+/** How the body of an answer is delimited towards the caller. */
+enum class AnswerFraming {
+    None, //!< no body follows
+    Length,
+    Chunked,
+    UntilClose,
+};
+
+/** @return how the answer of @p parser is sent to a caller of @p callerVersion, such as 11. */
+AnswerFraming chooseFraming(const AnswerParser &parser, bool isHeadRequest, unsigned callerVersion);
+
+/** @return the header of the answer for the caller, whole. */
+std::string makeAnswerHead(const AnswerParser &parser, AnswerFraming framing,
+                           std::string_view traceId, bool isClosing);
+
+/** @return the load that the endpoint reports in its answer, or nothing. */
+std::optional<balance::LoadReport> readLoad(const AnswerHeader &header);
+
+/** @return whether the endpoint says explicitly that it did not run the request. */
+bool isShed(const AnswerHeader &header);
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/attempt.cpp
@@ -0,0 +1,356 @@
+#include "attempt.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include "fieldnames.h"
+#include "headerrules.h"
+
+namespace damaskgate::entry {
+
+namespace {
+
+constexpr std::chrono::seconds MaxIdleTime { 15 };
+// An endpoint closes connections that are idle for longer; a request lost that way cannot be sent
+// again when it may not repeat.
+constexpr std::chrono::seconds MaxIdleTimeNotRepeatable { 1 };
+constexpr std::size_t MaxAnswerHeaderBytes = 65536;
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+std::string chunkHead(std::size_t size)
+{
+    std::array<char, 18> text {};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), size, 16).ptr;
+    return std::string(text.data(), end) + "\r\n";
+}
+
+asio::const_buffer toBuffer(std::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+bool hasUnknownCoding(const AnswerParser &parser)
+{
+    return !parser.chunked() && parser.get().count(http::field::transfer_encoding) > 0;
+}
+
+bool isInterim(const AnswerParser &parser)
+{
+    return parser.get().result_int() / 100 == 1 && parser.get().result_int() != 101;
+}
+
+} // namespace
+
+Attempt::Attempt(EntryContext &context, CallerConnection &caller, RequestBody &body,
+                 const ForwardPlan &plan, AbortHandler onAbort)
+    : context(context), caller(caller), body(body), plan(plan), onAbort(std::move(onAbort)),
+      exchangeId(++context.lastExchange)
+{}
+
+asio::awaitable<AttemptResult> Attempt::run(const settings::Endpoint &endpoint)
+{
+    error_code ec;
+    const auto address = asio::ip::make_address(endpoint.address, ec);
+    const asio::ip::tcp::endpoint remote(address, endpoint.port);
+    if (ec || !co_await this->connect(remote)) {
+        this->fail(core::Reason::UpstreamUnreachable, balance::Outcome::ConnectFailed,
+                   "no connection to the endpoint");
+        co_return this->result;
+    }
+    if (co_await this->sendRequest()) {
+        this->startBody();
+        co_await this->handleAnswer();
+        co_await this->endBody();
+    }
+    this->keepConnection();
+    co_return this->result;
+}
+
+void Attempt::abort()
+{
+    this->isAborted = true;
+    if (this->connection) {
+        this->connection->close();
+    }
+    if (this->result.isAnswerStarted) {
+        this->caller.cancel();
+    }
+}
+
+asio::awaitable<bool> Attempt::connect(const asio::ip::tcp::endpoint &remote)
+{
+    const core::Duration maxIdle = this->plan.isRepeatable ? MaxIdleTime : MaxIdleTimeNotRepeatable;
+    this->connection = this->context.pool.take(remote, this->context.now(), maxIdle);
+    if (this->connection) {
+        co_return true;
+    }
+    this->connection = std::make_shared<UpstreamConnection>(this->context.ioContext.get_executor());
+    this->connection->remote = remote;
+    const bool isOpen = co_await this->openConnection();
+    co_return isOpen && !this->isAborted;
+}
+
+asio::awaitable<bool> Attempt::openConnection()
+{
+    asio::steady_timer timer(this->context.ioContext, this->context.options.connectTimeout);
+    timer.async_wait([connection = this->connection](const error_code &ec) {
+        if (!ec) {
+            connection->close();
+        }
+    });
+    const auto [ec] =
+        co_await this->connection->socket.async_connect(this->connection->remote, WithError);
+    // A timer that has expired by now can no longer be stopped from closing the connection.
+    const bool isInTime = timer.cancel() > 0;
+    if (ec || !isInTime) {
+        co_return false;
+    }
+    error_code ignored;
+    this->connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return true;
+}
+
+asio::awaitable<bool> Attempt::sendRequest()
+{
+    using std::chrono::ceil;
+    using std::chrono::milliseconds;
+    std::string head = this->plan.head;
+    const auto remaining = ceil<milliseconds>(this->plan.deadline - this->context.now());
+    appendField(head, DeadlineField, std::to_string(std::max<long long>(remaining.count(), 1)));
+    appendField(head, ExchangeField, std::to_string(this->exchangeId));
+    head += this->body.framingFields();
+    head += "\r\n";
+
+    const std::string_view part = this->body.firstPart();
+    const bool isChunk = this->body.isChunked() && !part.empty();
+    const std::string chunk = isChunk ? chunkHead(part.size()) : std::string {};
+    this->isBodySent = this->body.isDone();
+    const bool isLastChunk = this->body.isChunked() && this->isBodySent;
+    const std::array buffers { toBuffer(head), toBuffer(chunk), toBuffer(part),
+                               toBuffer(isChunk ? "\r\n" : ""),
+                               toBuffer(isLastChunk ? LastChunk : "") };
+    this->sentAt = this->context.now();
+    this->result.verdict = core::Verdict::MayHaveRun;
+    const auto [ec, size] =
+        co_await asio::async_write(this->connection->socket, buffers, WithError);
+    if (!ec) {
+        co_return true;
+    }
+    if (size == 0) {
+        this->result.verdict = core::Verdict::NotRun;
+        this->fail(core::Reason::UpstreamUnreachable, balance::Outcome::ConnectFailed,
+                   "the connection was closed before the request was written");
+        co_return false;
+    }
+    // The endpoint may have answered early and closed; its answer is read all the same.
+    this->isBodySent = false;
+    co_return true;
+}
+
+void Attempt::startBody()
+{
+    if (this->body.isDone()) {
+        return;
+    }
+    this->bodyEnd = std::make_shared<OneShot<bool>>(this->context.ioContext.get_executor());
+    asio::co_spawn(
+        this->context.ioContext, [self = this->shared_from_this()] { return self->sendBody(); },
+        asio::detached);
+}
+
+asio::awaitable<void> Attempt::sendBody()
+{
+    co_await this->caller.stopWatch();
+    while (!this->body.isDone() && this->connection->socket.is_open()) {
+        const auto [ec, part] = co_await this->body.readNext();
+        if (ec && ec != asio::error::operation_aborted) {
+            this->onAbort(AbortCause::BadBody);
+        }
+        const bool isLast = this->body.isDone();
+        if (ec || !co_await this->sendBodyPart(part, isLast)) {
+            break;
+        }
+        this->isBodySent = isLast;
+    }
+    if (this->isBodySent) {
+        this->caller.startWatch([onAbort = this->onAbort] { onAbort(AbortCause::CallerLeft); });
+    }
+    this->bodyEnd->set(true);
+}
+
+asio::awaitable<bool> Attempt::sendBodyPart(std::string_view part, bool isLast)
+{
+    const bool isChunked = this->body.isChunked();
+    const std::string chunk = isChunked && !part.empty() ? chunkHead(part.size()) : std::string {};
+    const std::array buffers { toBuffer(chunk), toBuffer(part),
+                               toBuffer(chunk.empty() ? "" : "\r\n"),
+                               toBuffer(isChunked && isLast ? LastChunk : "") };
+    const auto [ec, size] =
+        co_await asio::async_write(this->connection->socket, buffers, WithError);
+    co_return !ec;
+}
+
+asio::awaitable<void> Attempt::endBody()
+{
+    if (!this->bodyEnd) {
+        co_return;
+    }
+    if (!this->bodyEnd->isSet()) {
+        this->connection->close();
+        this->caller.cancel();
+    }
+    co_await this->bodyEnd->wait();
+}
+
+asio::awaitable<error_code> Attempt::readAnswerHead()
+{
+    do {
+        this->parser.emplace();
+        this->parser->header_limit(MaxAnswerHeaderBytes);
+        this->parser->body_limit(boost::none);
+        this->parser->skip(this->plan.isHead);
+        const error_code ec = co_await this->receiveAnswer();
+        if (ec) {
+            co_return ec;
+        }
+    } while (isInterim(*this->parser));
+    this->parser->eager(true);
+    co_return error_code {};
+}
+
+asio::awaitable<error_code> Attempt::receiveAnswer()
+{
+    auto &buffer = this->connection->buffer;
+    while (!this->parser->is_header_done()) {
+        error_code ec;
+        if (buffer.size() > 0) {
+            buffer.consume(this->parser->put(buffer.data(), ec));
+        }
+        if (ec && ec != http::error::need_more) {
+            co_return ec;
+        }
+        if (this->parser->is_header_done()) {
+            break;
+        }
+        const auto space = buffer.prepare(IoBufferSize);
+        const auto [readError, size] =
+            co_await this->connection->socket.async_read_some(space, WithError);
+        if (readError) {
+            co_return readError;
+        }
+        buffer.commit(size);
+    }
+    co_return error_code {};
+}
+
+bool Attempt::isOwnAnswer() const
+{
+    const auto echoed = toView(this->parser->get()[ExchangeField]);
+    return echoed.empty() || echoed == std::to_string(this->exchangeId);
+}
+
+asio::awaitable<void> Attempt::handleAnswer()
+{
+    const error_code ec = co_await this->readAnswerHead();
+    this->result.report.latency = this->context.now() - this->sentAt;
+    if (ec) {
+        this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
+                   "the endpoint broke off before its answer");
+        co_return;
+    }
+    if (!this->isOwnAnswer() || hasUnknownCoding(*this->parser)
+        || this->parser->get().result_int() == 101) {
+        this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
+                   "the endpoint sent an answer that belongs to no request of this connection");
+        co_return;
+    }
+    this->noteAnswer();
+    if (isShed(this->parser->get())) {
+        this->result.verdict = core::Verdict::NotRun;
+        this->fail(core::Reason::UpstreamShed, balance::Outcome::Shed, "the endpoint shed it");
+        co_return;
+    }
+    this->result.verdict = core::Verdict::Ran;
+    this->result.status = static_cast<int>(this->parser->get().result_int());
+    co_await this->deliverAnswer();
+}
+
+asio::awaitable<void> Attempt::deliverAnswer()
+{
+    const bool isHeadOnly = this->plan.isHead;
+    this->framing = chooseFraming(*this->parser, isHeadOnly, this->plan.callerVersion);
+    const bool isClosing = this->plan.isClosing || this->context.isDraining || !this->body.isDone()
+        || this->framing == AnswerFraming::UntilClose;
+    std::string head = makeAnswerHead(*this->parser, this->framing, this->plan.traceId, isClosing);
+
+    BodyReader<false> reader(this->connection->socket, this->connection->buffer, *this->parser);
+    const auto space = std::make_unique_for_overwrite<char[]>(IoBufferSize);
+    auto [ec, size] = reader.decode({ space.get(), IoBufferSize });
+    this->result.isAnswerStarted = true;
+    bool isSent = co_await this->sendAnswerPart(head, { space.get(), size });
+    while (isSent && !ec && !reader.isDone()) {
+        std::tie(ec, size) = co_await reader.readSome({ space.get(), IoBufferSize });
+        if (!ec) {
+            isSent = co_await this->sendAnswerPart({}, { space.get(), size });
+        }
+    }
+    if (!isSent) {
+        this->fail(core::Reason::Internal, balance::Outcome::Cancelled, "the caller left");
+        co_return;
+    }
+    if (ec) {
+        this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
+                   "the endpoint broke off within its answer");
+        co_return;
+    }
+    this->result.isCallerKept = !isClosing;
+}
+
+asio::awaitable<bool> Attempt::sendAnswerPart(std::string_view head, std::string_view part)
+{
+    const bool isChunked = this->framing == AnswerFraming::Chunked;
+    const bool isLastChunk = isChunked && this->parser->is_done();
+    const std::string chunk = isChunked && !part.empty() ? chunkHead(part.size()) : std::string {};
+    const std::array buffers { toBuffer(head), toBuffer(chunk), toBuffer(part),
+                               toBuffer(chunk.empty() ? "" : "\r\n"),
+                               toBuffer(isLastChunk ? LastChunk : "") };
+    const auto [ec, size] = co_await asio::async_write(this->caller.socket, buffers, WithError);
+    co_return !ec;
+}
+
+void Attempt::noteAnswer()
+{
+    const bool isServerError = this->parser->get().result_int() >= 500;
+    this->result.report.outcome =
+        isServerError ? balance::Outcome::ServerError : balance::Outcome::Answered;
+    this->result.report.load = readLoad(this->parser->get());
+}
+
+// A connection is used again only when nothing of its exchange is left on either side.
+void Attempt::keepConnection()
+{
+    const bool isClean = !this->result.error && !this->isAborted && this->isBodySent && this->parser
+        && this->parser->is_done() && this->parser->keep_alive()
+        && this->connection->buffer.size() == 0 && this->connection->socket.is_open();
+    if (isClean) {
+        this->context.pool.giveBack(this->connection, this->context.now());
+        return;
+    }
+    this->connection->close();
+}
+
+void Attempt::fail(core::Reason reason, balance::Outcome outcome, std::string detail)
+{
+    this->result.error =
+        core::Error { reason, this->result.verdict, std::move(detail), std::nullopt };
+    this->result.report.outcome = outcome;
+}
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/bodyreader.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <span>
+#include <utility>
+
+#include "httptypes.h"
+
+namespace damaskgate::entry {
+
+/** Reads a message's body from a socket in pieces, without its transfer coding. */
+template <bool IsRequest>
+class BodyReader
+{
+public:
+    using Parser = http::parser<IsRequest, http::buffer_body>;
+
+    BodyReader(asio::ip::tcp::socket &socket, beast::flat_buffer &buffer, Parser &parser)
+        : socket(socket), buffer(buffer), parser(parser)
+    {}
+
+    /** @return whether the whole body has been read. */
+    bool isDone() const
+    {
+        return this->parser.is_done();
+    }
+
+    /**
+     * Decodes what has been received already, without waiting for the socket.
+     *
+     * @return bytes put into @p out
+     */
+    std::pair<error_code, std::size_t> decode(std::span<char> out)
+    {
+        auto &body = this->parser.get().body();
+        body.data = out.data();
+        body.size = out.size();
+        body.more = true;
+        error_code ec;
+        while (!ec && !this->parser.is_done() && body.size > 0 && this->buffer.size() > 0) {
+            this->buffer.consume(this->parser.put(this->buffer.data(), ec));
+        }
+        if (ec == http::error::need_buffer || ec == http::error::need_more) {
+            ec = {};
+        }
+        return { ec, out.size() - body.size };
+    }
+
+    /** @return bytes put into @p out; none only at the end of the body or with an error. */
+    asio::awaitable<std::pair<error_code, std::size_t>> readSome(std::span<char> out)
+    {
+        auto decoded = this->decode(out);
+        while (!decoded.first && decoded.second == 0 && !this->parser.is_done()) {
+            const error_code ec = co_await this->receive();
+            if (ec) {
+                co_return std::pair<error_code, std::size_t> { ec, 0 };
+            }
+            decoded = this->decode(out);
+        }
+        co_return decoded;
+    }
+
+private:
+    asio::awaitable<error_code> receive()
+    {
+        auto space = this->buffer.prepare(IoBufferSize);
+        auto [ec, size] = co_await this->socket.async_read_some(space, WithError);
+        this->buffer.commit(size);
+        if (ec == asio::error::eof) {
+            ec = {};
+            this->parser.put_eof(ec);
+        }
+        co_return ec;
+    }
+
+    asio::ip::tcp::socket &socket;
+    beast::flat_buffer &buffer;
+    Parser &parser;
+};
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/callersession.cpp
@@ -0,0 +1,185 @@
+#include "callersession.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "headerrules.h"
+#include "refusal.h"
+
+namespace damaskgate::entry {
+
+namespace {
+
+constexpr int RequestTimeoutStatus = 408;
+constexpr int HeaderTooLargeStatus = 431;
+constexpr int BadRequestStatus = 400;
+constexpr std::size_t HeaderReadSize = 4096;
+constexpr std::string_view HeaderEnd = "\r\n\r\n";
+constexpr core::Duration Unbounded = core::Duration::zero();
+
+std::string_view received(const beast::flat_buffer &buffer)
+{
+    return { static_cast<const char *>(buffer.data().data()), buffer.size() };
+}
+
+} // namespace
+
+CallerSession::CallerSession(EntryContext &context, asio::ip::tcp::socket socket)
+    : context(context), connection(std::make_shared<CallerConnection>(std::move(socket)))
+{}
+
+asio::awaitable<void> CallerSession::run()
+{
+    bool isKept = true;
+    while (isKept && !this->context.isStopped) {
+        isKept = co_await this->serveNext();
+        this->exchange.reset();
+    }
+    this->enter(Phase::Closing, Unbounded);
+    if (this->connection->socket.is_open() && !this->context.isStopped) {
+        co_await this->connection->closeGently();
+    }
+}
+
+void CallerSession::checkTimeouts(core::Instant now)
+{
+    const bool isWaiting = this->phase == Phase::Idle || this->phase == Phase::Header;
+    if (isWaiting && now >= this->phaseEnd && !this->isTimedOut) {
+        this->isTimedOut = true;
+        this->connection->cancel();
+    }
+}
+
+void CallerSession::onDrain(core::Instant now)
+{
+    if (this->phase == Phase::Idle) {
+        this->phaseEnd = std::min(this->phaseEnd, now + this->context.options.drainLinger);
+    }
+}
+
+void CallerSession::stop()
+{
+    if (this->exchange) {
+        this->exchange->abort(AbortCause::Stopped);
+    }
+    this->connection->close();
+}
+
+asio::awaitable<bool> CallerSession::serveNext()
+{
+    if (!co_await this->waitForRequest()) {
+        co_return false;
+    }
+    const auto headerSize = co_await this->receiveHeader();
+    if (!headerSize) {
+        const bool isTooLarge =
+            this->connection->buffer.size() >= this->context.options.maxHeaderBytes;
+        const int status = this->isTimedOut ? RequestTimeoutStatus
+            : isTooLarge                    ? HeaderTooLargeStatus
+                                            : BadRequestStatus;
+        co_return co_await this->refuseHeader(headerSize.error(), status);
+    }
+    RequestParser parser;
+    const auto parsed = this->parseHeader(parser, *headerSize);
+    if (!parsed) {
+        co_return co_await this->refuseHeader(parsed.error(), BadRequestStatus);
+    }
+    this->enter(Phase::Exchange, Unbounded);
+    this->exchange =
+        std::make_shared<Exchange>(this->context, this->connection, parser,
+                                   !parser.get().keep_alive() || parser.get().version() < 11);
+    co_return co_await this->exchange->run();
+}
+
+// Waits without a buffer, so that an idle connection holds as little memory as possible.
+asio::awaitable<bool> CallerSession::waitForRequest()
+{
+    const bool isDraining = this->context.isDraining;
+    this->enter(Phase::Idle,
+                isDraining ? core::Duration(this->context.options.drainLinger)
+                           : core::Duration(this->context.options.keepAliveTimeout));
+    auto &buffer = this->connection->buffer;
+    if (buffer.size() > 0) {
+        co_return true;
+    }
+    buffer.shrink_to_fit();
+    const auto [ec] =
+        co_await this->connection->socket.async_wait(asio::ip::tcp::socket::wait_read, WithError);
+    co_return !ec;
+}
+
+asio::awaitable<core::Result<std::size_t>> CallerSession::receiveHeader()
+{
+    auto &buffer = this->connection->buffer;
+    std::size_t searched = 0;
+    while (true) {
+        if (searched == 0) {
+            this->skipEmptyLines();
+        }
+        const auto end = received(buffer).find(HeaderEnd, searched);
+        if (end != std::string_view::npos && end <= this->context.options.maxHeaderBytes) {
+            co_return end + HeaderEnd.size();
+        }
+        if (buffer.size() >= this->context.options.maxHeaderBytes) {
+            co_return core::notRun(core::Reason::BadRequest, "the header is too large");
+        }
+        if (this->phase == Phase::Idle && buffer.size() > 0) {
+            this->enter(Phase::Header, this->context.options.headerTimeout);
+        }
+        searched = buffer.size() - std::min(buffer.size(), HeaderEnd.size() - 1);
+        const auto space = buffer.prepare(HeaderReadSize);
+        const auto [ec, size] = co_await this->connection->socket.async_read_some(space, WithError);
+        if (ec) {
+            co_return core::notRun(core::Reason::BadRequest, "the header is not complete");
+        }
+        buffer.commit(size);
+    }
+}
+
+asio::awaitable<bool> CallerSession::refuseHeader(const core::Error &error, int status)
+{
+    if (this->connection->buffer.size() == 0) {
+        co_return false;
+    }
+    const std::string message = toMessage({ error, status, {}, {}, true, false });
+    co_await this->connection->write(message);
+    RequestRecord record;
+    record.reason = error.reason;
+    record.status = status;
+    this->context.dependencies.observer.onRequestFinished(record);
+    co_return false;
+}
+
+core::Result<void> CallerSession::parseHeader(RequestParser &parser, std::size_t size)
+{
+    auto &buffer = this->connection->buffer;
+    if (auto raw = checkRawHeader(received(buffer).substr(0, size)); !raw) {
+        return raw;
+    }
+    parser.header_limit(static_cast<std::uint32_t>(size + 1));
+    parser.body_limit(boost::none);
+    error_code ec;
+    const std::size_t used = parser.put(asio::const_buffer(buffer.data().data(), size), ec);
+    if (ec || !parser.is_header_done()) {
+        return core::notRun(core::Reason::BadRequest, "the header is malformed");
+    }
+    buffer.consume(used);
+    parser.eager(true);
+    return checkRequestHeader(parser.get());
+}
+
+void CallerSession::enter(Phase next, core::Duration timeout)
+{
+    this->phase = next;
+    this->phaseEnd = this->context.now() + timeout;
+}
+
+void CallerSession::skipEmptyLines()
+{
+    auto &buffer = this->connection->buffer;
+    while (received(buffer).starts_with("\r\n")) {
+        buffer.consume(2);
+    }
+}
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/checkedrequest.cpp
@@ -0,0 +1,157 @@
+#include "checkedrequest.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "fieldnames.h"
+#include "headerrules.h"
+
+namespace damaskgate::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds MaxCallerDeadline { 3600000 };
+constexpr std::size_t MaxTraceSize = 64; //!< characters
+
+// These are set anew towards the upstream.
+constexpr std::array ReplacedFields { http::field::host, http::field::content_length,
+                                      http::field::expect };
+
+core::Result<std::optional<std::chrono::milliseconds>> readDeadline(std::string_view text)
+{
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size() || value <= 0) {
+        return core::notRun(core::Reason::BadRequest, "the deadline is no positive number");
+    }
+    return std::min(std::chrono::milliseconds(value), MaxCallerDeadline);
+}
+
+std::string readTrace(std::string_view text, const routing::KeyFilter &keyFilter)
+{
+    const auto isPlain = [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+            || c == '-';
+    };
+    const bool isUsable = text.size() <= MaxTraceSize && std::ranges::all_of(text, isPlain)
+        && !keyFilter.containsKey(text);
+    return isUsable ? std::string(text) : std::string {};
+}
+
+routing::KeyFilter findKeys(const RequestHeader &header, std::string_view query)
+{
+    routing::KeyFilter filter;
+    for (const auto &field : header) {
+        filter.inspectField(toView(field.name_string()), toView(field.value()));
+    }
+    filter.inspectQuery(query);
+    return filter;
+}
+
+core::Result<std::string> readOperationKey(const RequestHeader &header)
+{
+    if (header.count(OperationKeyField) > 1) {
+        return core::notRun(core::Reason::OperationKeyInvalid, "several operation keys were sent");
+    }
+    return std::string(toView(header[OperationKeyField]));
+}
+
+void appendHost(std::string &head, const RequestHeader &header, const RequestFacts &facts,
+                const settings::Route &route)
+{
+    const auto host = toView(header[http::field::host]);
+    const bool isUsable = !host.empty() && !facts.keyFilter.containsKey(host);
+    appendField(head, "Host", isUsable ? host : std::string_view(route.service.text()));
+}
+
+bool isOwnField(std::string_view name)
+{
+    return hasNamePrefix(name, OwnFieldPrefix);
+}
+
+} // namespace
+
+core::Result<RequestFacts> readFacts(const RequestHeader &header)
+{
+    auto target = routing::normalizeTarget(toView(header.target()));
+    if (!target) {
+        return tl::unexpected(target.error());
+    }
+    RequestFacts facts;
+    facts.target = std::move(*target);
+    facts.keyFilter = findKeys(header, facts.target.query);
+    const auto key = facts.keyFilter.key();
+    if (!key) {
+        return tl::unexpected(key.error());
+    }
+    facts.key = *key;
+    facts.method = toView(header.method_string());
+    if (facts.keyFilter.containsKey(facts.target.path)) {
+        return core::notRun(core::Reason::BadRequest, "the path contains the key");
+    }
+    const auto deadline = readDeadline(toView(header[DeadlineField]));
+    if (!deadline) {
+        return tl::unexpected(deadline.error());
+    }
+    facts.callerDeadline = *deadline;
+    auto operationKey = readOperationKey(header);
+    if (!operationKey) {
+        return tl::unexpected(operationKey.error());
+    }
+    facts.operationKey = std::move(*operationKey);
+    facts.traceId = readTrace(toView(header[TraceField]), facts.keyFilter);
+    facts.isExpectingContinue = beast::iequals(header[http::field::expect], "100-continue");
+    return facts;
+}
+
+core::Result<Permission> findPermission(const RequestFacts &facts, routing::RouteIndexPtr index)
+{
+    const auto route = index->findRoute(facts.target.path, facts.method);
+    if (!route) {
+        return tl::unexpected(route.error());
+    }
+    if ((*route)->isOpen) {
+        return Permission { std::move(index), *route, {} };
+    }
+    const auto workspace = index->findWorkspace(facts.key);
+    if (!workspace) {
+        return tl::unexpected(workspace.error());
+    }
+    if (!routing::isAllowed(**route, (*workspace)->name)) {
+        return core::notRun(core::Reason::RouteUnknown, "no such route for this workspace");
+    }
+    return Permission { std::move(index), *route, (*workspace)->name };
+}
+
+std::string makeForwardedHead(const RequestHeader &header, const RequestFacts &facts,
+                              const settings::Route &route)
+{
+    std::string head = facts.method + " " + facts.target.path;
+    const std::string query = facts.keyFilter.filterQuery(facts.target.query);
+    if (!query.empty()) {
+        head += "?" + query;
+    }
+    head += " HTTP/1.1\r\n";
+    appendHost(head, header, facts, route);
+    const HopByHopFilter hopByHop(header);
+    for (const auto &field : header) {
+        const auto name = toView(field.name_string());
+        const auto value = toView(field.value());
+        const bool isReplaced =
+            std::ranges::find(ReplacedFields, field.name()) != ReplacedFields.end();
+        if (isReplaced || isOwnField(name) || hopByHop.isDropped(field)
+            || facts.keyFilter.isFieldDropped(name, value)) {
+            continue;
+        }
+        appendField(head, name, value);
+    }
+    appendField(head, "Via", ViaValue);
+    return head;
+}
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/checkedrequest.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "damaskgate/core/error.h"
+#include "damaskgate/core/names.h"
+#include "damaskgate/routing/keyfilter.h"
+#include "damaskgate/routing/requesttarget.h"
+#include "damaskgate/routing/routeindex.h"
+
+#include "httptypes.h"
+
+namespace damaskgate::entry {
+
+/** What a request's header says, apart from routes and keys. */
+struct RequestFacts
+{
+    routing::RequestTarget target;
+    routing::KeyFilter keyFilter;
+    std::string key; //!< empty when none was sent
+    std::string method;
+    std::string traceId; //!< empty when the caller sent none that may be passed on
+    std::string operationKey; //!< empty when none was sent
+    std::optional<std::chrono::milliseconds> callerDeadline;
+    bool isExpectingContinue = false;
+};
+
+/** A request's route and the workspace that it runs for. */
+struct Permission
+{
+    routing::RouteIndexPtr index; //!< keeps the route alive
+    const settings::Route *route = nullptr;
+    core::WorkspaceName workspace; //!< empty on open routes
+};
+
+/** @return what @p header says, or BadRequest. */
+core::Result<RequestFacts> readFacts(const RequestHeader &header);
+
+/** @return the permission of a request under @p index, or why it has none. */
+core::Result<Permission> findPermission(const RequestFacts &facts, routing::RouteIndexPtr index);
+
+/**
+ * @return the request line and the fields that the upstream gets, without framing and without the
+ *         end of the header
+ */
+std::string makeForwardedHead(const RequestHeader &header, const RequestFacts &facts,
+                              const settings::Route &route);
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/exchange.cpp
@@ -0,0 +1,465 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "fieldnames.h"
+#include "headerrules.h"
+#include "lookupanswer.h"
+#include "refusal.h"
+#include "slotguard.h"
+
+namespace damaskgate::entry {
+
+namespace {
+
+constexpr std::size_t MaxAttempts = 3; //!< endpoints tried for one request
+constexpr std::chrono::seconds DefaultTimeout { 30 }; //!< of routes without one
+constexpr std::chrono::milliseconds DefaultRetryAfter { 1000 };
+constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+constexpr std::array IdempotentMethods { http::verb::get, http::verb::head, http::verb::options,
+                                         http::verb::put, http::verb::delete_ };
+
+bool isIdempotent(http::verb method)
+{
+    return std::ranges::find(IdempotentMethods, method) != IdempotentMethods.end();
+}
+
+bool isWorthRetrying(const core::Error &error, int status)
+{
+    return error.verdict == core::Verdict::NotRun && (status == 503 || status == 429);
+}
+
+} // namespace
+
+Exchange::Exchange(EntryContext &context, std::shared_ptr<CallerConnection> caller,
+                   RequestParser &parser, bool isClosing)
+    : context(context), caller(std::move(caller)), parser(parser), body(*this->caller, parser),
+      startedAt(context.now()), deadlineTimer(context.ioContext)
+{
+    this->plan.isClosing = isClosing;
+    ++this->context.exchanges;
+}
+
+Exchange::~Exchange()
+{
+    --this->context.exchanges;
+}
+
+asio::awaitable<bool> Exchange::run()
+{
+    Step served = co_await this->serve();
+    this->deadlineTimer.cancel();
+    this->endOperation();
+    co_await this->caller->stopWatch();
+    if (!served) {
+        this->isCallerKept = co_await this->refuse(std::move(served.error()));
+    }
+    this->report();
+    co_return this->isCallerKept &&this->abortCause != AbortCause::Stopped;
+}
+
+void Exchange::abort(AbortCause cause)
+{
+    if (this->abortCause != AbortCause::None) {
+        return;
+    }
+    this->abortCause = cause;
+    if (this->onAbort) {
+        this->onAbort();
+    }
+}
+
+asio::awaitable<Exchange::Step> Exchange::serve()
+{
+    if (Step checked = this->check(); !checked) {
+        co_return checked;
+    }
+    if (this->permission.route == nullptr) {
+        co_return co_await this->serveLookup();
+    }
+    if (Step begun = this->beginOperation(); !begun) {
+        co_return begun;
+    }
+    this->startDeadline();
+    Step step = co_await this->admit();
+    if (step) {
+        step = co_await this->readBody();
+    }
+    if (step) {
+        step = co_await this->forward();
+    }
+    co_return step;
+}
+
+Exchange::Step Exchange::check()
+{
+    const auto &header = this->parser.get();
+    this->plan.isHead = header.method() == http::verb::head;
+    this->plan.callerVersion = header.version();
+    auto read = readFacts(header);
+    if (!read) {
+        return tl::unexpected(read.error());
+    }
+    this->facts = std::move(*read);
+    this->record.traceId =
+        this->facts.traceId.empty() ? this->context.makeTraceId() : this->facts.traceId;
+    this->plan.traceId = this->record.traceId;
+    if (this->context.isDraining) {
+        return core::notRun(core::Reason::Draining, "this host is leaving; look up another");
+    }
+    if (this->facts.target.path == LookupPath && this->facts.method == "GET") {
+        return {};
+    }
+    if (this->facts.target.path.starts_with(OwnPathPrefix)) {
+        return core::notRun(core::Reason::RouteUnknown, "no such resource of this host");
+    }
+    auto found = findPermission(this->facts, this->context.routes.current());
+    if (!found) {
+        return tl::unexpected(found.error());
+    }
+    this->permission = std::move(*found);
+    this->record.route = this->permission.route->name;
+    this->record.service = this->permission.route->service;
+    this->record.workspace = this->permission.workspace;
+    this->plan.isRepeatable = this->permission.route->isRepeatable;
+    this->plan.head = makeForwardedHead(header, this->facts, *this->permission.route);
+    appendField(this->plan.head, TraceField, this->plan.traceId);
+    const IServingGate *gate = this->context.dependencies.servingGate;
+    return gate == nullptr ? Step {} : gate->checkServing();
+}
+
+Exchange::Step Exchange::beginOperation()
+{
+    if (this->permission.route->isRepeatable || this->facts.operationKey.empty()) {
+        return {};
+    }
+    auto begun = this->context.operations.begin(this->facts.operationKey,
+                                                this->permission.workspace, this->context.now());
+    if (!begun) {
+        return tl::unexpected(begun.error());
+    }
+    this->operation = *begun;
+    return {};
+}
+
+asio::awaitable<Exchange::Step> Exchange::serveLookup()
+{
+    core::WorkspaceName workspace;
+    const auto index = this->context.routes.current();
+    if (!this->facts.key.empty()) {
+        const auto found = index->findWorkspace(this->facts.key);
+        if (!found) {
+            co_return tl::unexpected(found.error());
+        }
+        workspace = (*found)->name;
+    }
+    ILookup &lookup = this->context.dependencies.lookup;
+    const std::string text =
+        toLookupJson(lookup.rankFor(workspace), lookup.timeToLive(),
+                     this->context.operations.issueTicket(workspace, this->context.now()));
+    this->record.workspace = workspace;
+    this->record.status = 200;
+    this->isAnswerStarted = true;
+    const bool isClosing = this->plan.isClosing || !this->body.isDone();
+    const std::string answer = makeJsonAnswer(text, isClosing, false);
+    const error_code ec = co_await this->caller->write(answer);
+    this->isCallerKept = !ec && !isClosing;
+    co_return Step {};
+}
+
+asio::awaitable<Exchange::Step> Exchange::admit()
+{
+    if (this->permission.workspace.isEmpty()) {
+        co_return Step {};
+    }
+    const auto decision = std::make_shared<OneShot<Step>>(this->context.ioContext.get_executor());
+    const core::Instant from = this->context.now();
+    this->onAbort = [this, decision] {
+        decision->set(tl::unexpected(this->abortError()));
+    };
+    this->context.dependencies.admission.admit(
+        this->permission.workspace, this->plan.deadline,
+        [decision](Step admitted) { decision->set(std::move(admitted)); });
+    Step admitted = co_await decision->wait();
+    this->onAbort = nullptr;
+    this->record.admission = this->context.now() - from;
+    co_return admitted;
+}
+
+asio::awaitable<Exchange::Step> Exchange::readBody()
+{
+    if (this->body.isPresent()) {
+        this->onAbort = [this] {
+            this->caller->cancel();
+        };
+        error_code ec;
+        if (this->facts.isExpectingContinue && this->caller->buffer.size() == 0) {
+            ec = co_await this->caller->write(ContinueAnswer);
+        }
+        if (!ec) {
+            ec = co_await this->body.prefetch();
+        }
+        this->onAbort = nullptr;
+        if (this->abortCause != AbortCause::None) {
+            co_return tl::unexpected(this->abortError());
+        }
+        if (ec) {
+            co_return core::notRun(core::Reason::BadRequest, "the body is broken off or malformed");
+        }
+    }
+    this->caller->startWatch([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->abort(AbortCause::CallerLeft);
+        }
+    });
+    co_return Step {};
+}
+
+asio::awaitable<Exchange::Step> Exchange::forward()
+{
+    this->context.retries.onRequest();
+    std::optional<core::Error> lastError;
+    for (std::size_t attempts = 1;; ++attempts) {
+        const auto grant = co_await this->acquire();
+        if (!grant) {
+            co_return tl::unexpected(lastError.value_or(grant.error()));
+        }
+        SlotGuard slot(this->context.dependencies.balancer, grant->id);
+        if (Step still = this->checkAgain(); !still) {
+            co_return still;
+        }
+        this->record.attempts = static_cast<std::uint32_t>(attempts);
+        AttemptResult result = co_await this->tryEndpoint(grant->endpoint);
+        this->judgeEndpoint(result);
+        slot.setReport(result.report);
+        if (!result.error) {
+            co_return Step {};
+        }
+        if (this->abortCause != AbortCause::None) {
+            co_return tl::unexpected(this->abortError());
+        }
+        if (!this->mayRetry(result, attempts)) {
+            co_return tl::unexpected(*result.error);
+        }
+        lastError = result.error;
+        this->failedEndpoints.push_back(grant->endpoint.name);
+    }
+}
+
+asio::awaitable<core::Result<balance::SlotGrant>> Exchange::acquire()
+{
+    using Grant = core::Result<balance::SlotGrant>;
+    if (this->abortCause != AbortCause::None) {
+        co_return tl::unexpected(this->abortError());
+    }
+    const auto decision = std::make_shared<OneShot<Grant>>(this->context.ioContext.get_executor());
+    balance::IBalancer &balancer = this->context.dependencies.balancer;
+    const settings::Route &route = *this->permission.route;
+    const core::Instant from = this->context.now();
+    const balance::WorkRequest work { route.service, this->permission.workspace, route.isDeferrable,
+                                      this->plan.deadline, this->failedEndpoints };
+    const std::uint64_t id =
+        balancer.acquire(work, [decision](Grant grant) { decision->set(std::move(grant)); });
+    this->onAbort = [this, &balancer, decision, id] {
+        if (!decision->isSet()) {
+            balancer.cancel(id);
+            decision->set(tl::unexpected(this->abortError()));
+        }
+    };
+    Grant grant = co_await decision->wait();
+    this->onAbort = nullptr;
+    this->record.queued += this->context.now() - from;
+    co_return grant;
+}
+
+Exchange::Step Exchange::checkAgain() const
+{
+    if (this->abortCause != AbortCause::None) {
+        return tl::unexpected(this->abortError());
+    }
+    if (this->context.now() >= this->plan.deadline) {
+        return core::notRun(core::Reason::DeadlineExceeded, "the deadline passed in the queue");
+    }
+    const IServingGate *gate = this->context.dependencies.servingGate;
+    if (gate != nullptr) {
+        if (Step serving = gate->checkServing(); !serving) {
+            return serving;
+        }
+    }
+    const auto index = this->context.routes.current();
+    if (index == this->permission.index) {
+        return {};
+    }
+    const auto found = findPermission(this->facts, index);
+    if (!found) {
+        return tl::unexpected(found.error());
+    }
+    const bool isSame = found->workspace == this->permission.workspace
+        && found->route->service == this->permission.route->service
+        && found->route->isRepeatable == this->permission.route->isRepeatable;
+    if (!isSame) {
+        return core::notRun(core::Reason::RouteUnknown, "the route changed while it waited");
+    }
+    return {};
+}
+
+asio::awaitable<AttemptResult> Exchange::tryEndpoint(const settings::Endpoint &endpoint)
+{
+    const auto onBroken = [weak = this->weak_from_this()](AbortCause cause) {
+        if (const auto self = weak.lock()) {
+            self->abort(cause);
+        }
+    };
+    const auto attempt =
+        std::make_shared<Attempt>(this->context, *this->caller, this->body, this->plan, onBroken);
+    this->onAbort = [attempt] {
+        attempt->abort();
+    };
+    AttemptResult result = co_await attempt->run(endpoint);
+    this->onAbort = nullptr;
+    this->verdict = core::combine(this->verdict, result.verdict);
+    this->upstreamStatus = result.status;
+    this->isAnswerStarted = result.isAnswerStarted;
+    this->isCallerKept = result.isCallerKept;
+    this->record.upstream += result.report.latency;
+    co_return result;
+}
+
+bool Exchange::mayRetry(const AttemptResult &result, std::size_t attempts)
+{
+    if (result.isAnswerStarted || !this->body.isReplayable() || attempts >= MaxAttempts) {
+        return false;
+    }
+    const bool isRepeatable =
+        this->permission.route->isRepeatable && isIdempotent(this->parser.get().method());
+    const bool isUnsent = result.error->reason == core::Reason::UpstreamUnreachable;
+    const bool isShedSafely = result.error->reason == core::Reason::UpstreamShed
+        && (this->permission.route->isRepeatable || this->operation);
+    const bool isSafe =
+        result.error->verdict == core::Verdict::NotRun ? isUnsent || isShedSafely : isRepeatable;
+    return isSafe && this->context.retries.tryTake();
+}
+
+void Exchange::startDeadline()
+{
+    core::Duration timeout = this->permission.route->timeout;
+    if (timeout <= core::Duration::zero()) {
+        timeout = DefaultTimeout;
+    }
+    if (this->facts.callerDeadline) {
+        timeout = std::min<core::Duration>(timeout, *this->facts.callerDeadline);
+    }
+    this->plan.deadline = this->startedAt + timeout;
+    this->deadlineTimer.expires_after(timeout);
+    this->deadlineTimer.async_wait([weak = this->weak_from_this()](const error_code &ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+            self->abort(AbortCause::DeadlinePassed);
+        }
+    });
+}
+
+// A short deadline of a caller says nothing about the endpoint, a long wait in vain does.
+void Exchange::judgeEndpoint(AttemptResult &result) const
+{
+    if (this->abortCause == AbortCause::None || !result.error) {
+        return;
+    }
+    const bool isSent = result.report.outcome != balance::Outcome::Cancelled
+        && result.verdict != core::Verdict::NotRun;
+    const bool isLongWait = result.report.latency >= this->permission.route->timeout / 2;
+    const bool isTimeout = this->abortCause == AbortCause::DeadlinePassed && isSent && isLongWait;
+    result.report.outcome = isTimeout ? balance::Outcome::Timeout : balance::Outcome::Cancelled;
+}
+
+core::Error Exchange::abortError() const
+{
+    switch (this->abortCause) {
+    case AbortCause::BadBody:
+        return {
+            core::Reason::BadRequest, this->verdict, "the body is broken off or malformed", {}
+        };
+    case AbortCause::DeadlinePassed:
+        if (this->verdict == core::Verdict::NotRun) {
+            return { core::Reason::DeadlineExceeded, this->verdict, "the deadline passed", {} };
+        }
+        return { core::Reason::UpstreamTimeout, this->verdict, "no whole answer in time", {} };
+    case AbortCause::Stopped:
+        return { core::Reason::Draining, this->verdict, "this host stops", {} };
+    case AbortCause::CallerLeft:
+    case AbortCause::None:
+        break;
+    }
+    return { core::Reason::Internal, this->verdict, "the caller left", {} };
+}
+
+asio::awaitable<bool> Exchange::refuse(core::Error error)
+{
+    // A verdict on an operation may claim more than this attempt knows, never less.
+    error.verdict = core::combine(error.verdict, this->verdict);
+    this->record.reason = error.reason;
+    this->record.verdict = error.verdict;
+    if (this->isAnswerStarted) {
+        this->caller->close(true);
+        co_return false;
+    }
+    if (this->abortCause == AbortCause::CallerLeft || this->abortCause == AbortCause::Stopped) {
+        co_return false;
+    }
+    const int status = core::httpStatus(error.reason);
+    if (!error.retryAfter && isWorthRetrying(error, status)) {
+        error.retryAfter = DefaultRetryAfter;
+    }
+    std::string host;
+    if (error.reason == core::Reason::OperationElsewhere) {
+        host = this->context.operations.ownerOf(this->facts.operationKey).text();
+    }
+    const bool isClosing = this->plan.isClosing || this->context.isDraining || !this->body.isDone();
+    const std::string message = toMessage(
+        { std::move(error), status, this->record.traceId, host, isClosing, this->plan.isHead });
+    this->record.status = status;
+    const error_code ec = co_await this->caller->write(message);
+    co_return !ec && !isClosing;
+}
+
+void Exchange::endOperation()
+{
+    if (!this->operation) {
+        return;
+    }
+    constexpr std::array Ends {
+        std::pair { core::Verdict::NotRun, operations::OperationEnd::NotRun },
+        std::pair { core::Verdict::MayHaveRun, operations::OperationEnd::MayHaveRun },
+        std::pair { core::Verdict::Ran, operations::OperationEnd::Ran },
+    };
+    const auto *end =
+        std::ranges::find(Ends, this->verdict, [](const auto &item) { return item.first; });
+    this->context.operations.end(*this->operation, end->second, this->upstreamStatus);
+}
+
+void Exchange::report()
+{
+    if (this->isAnswerStarted && this->permission.route != nullptr) {
+        this->record.status = this->upstreamStatus;
+        this->record.verdict = core::Verdict::Ran;
+    }
+    this->record.isCancelled = this->abortCause == AbortCause::CallerLeft;
+    this->record.total = this->context.now() - this->startedAt;
+    this->context.dependencies.observer.onRequestFinished(this->record);
+    const bool isUncertain = this->record.reason && this->verdict != core::Verdict::NotRun;
+    if (!isUncertain) {
+        return;
+    }
+    this->context.dependencies.events.record({ "request-failed",
+                                               { { "trace", this->record.traceId },
+                                                 { "route", this->record.route.text() },
+                                                 { "workspace", this->record.workspace.text() },
+                                                 { "reason", core::toText(*this->record.reason) },
+                                                 { "verdict", core::toText(this->record.verdict) },
+                                                 { "attempts", this->record.attempts } } });
+}
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/exchange.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "attempt.h"
+#include "checkedrequest.h"
+
+namespace damaskgate::entry {
+
+/** Serves one request of a caller: checks, queues, forwards and answers it. */
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    /**
+     * @param parser that has read the request's header
+     * @param isClosing whether the caller's connection ends with this request
+     */
+    Exchange(EntryContext &context, std::shared_ptr<CallerConnection> caller, RequestParser &parser,
+             bool isClosing);
+    ~Exchange();
+
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    /** @return whether the caller's connection may carry another request. */
+    asio::awaitable<bool> run();
+
+    /** Breaks the request off; run() returns soon. */
+    void abort(AbortCause cause);
+
+private:
+    using Step = core::Result<void>;
+
+    asio::awaitable<Step> serve();
+    Step check();
+    Step beginOperation();
+    asio::awaitable<Step> serveLookup();
+    asio::awaitable<Step> admit();
+    asio::awaitable<Step> readBody();
+    asio::awaitable<Step> forward();
+    asio::awaitable<core::Result<balance::SlotGrant>> acquire();
+    Step checkAgain() const;
+    asio::awaitable<AttemptResult> tryEndpoint(const settings::Endpoint &endpoint);
+    bool mayRetry(const AttemptResult &result, std::size_t attempts);
+    void startDeadline();
+    void judgeEndpoint(AttemptResult &result) const;
+    core::Error abortError() const;
+    asio::awaitable<bool> refuse(core::Error error);
+    void endOperation();
+    void report();
+
+    EntryContext &context;
+    std::shared_ptr<CallerConnection> caller;
+    RequestParser &parser;
+    RequestBody body;
+    RequestFacts facts;
+    Permission permission;
+    ForwardPlan plan;
+    RequestRecord record;
+    core::Instant startedAt;
+    std::optional<operations::OperationId> operation;
+    std::vector<core::EndpointName> failedEndpoints;
+    asio::steady_timer deadlineTimer;
+    std::function<void()> onAbort; //!< breaks off what run() is waiting for
+    AbortCause abortCause = AbortCause::None;
+    core::Verdict verdict = core::Verdict::NotRun; //!< over all attempts
+    int upstreamStatus = 0;
+    bool isAnswerStarted = false;
+    bool isCallerKept = false;
+};
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/refusal.cpp
@@ -0,0 +1,73 @@
+#include "refusal.h"
+
+#include <algorithm>
+
+#include <boost/beast/http/status.hpp>
+#include <nlohmann/json.hpp>
+
+#include "fieldnames.h"
+#include "headerrules.h"
+
+namespace damaskgate::entry {
+
+namespace {
+
+std::string statusLine(int status)
+{
+    const auto phrase = http::obsolete_reason(static_cast<http::status>(status));
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(toView(phrase)) + "\r\n";
+}
+
+void appendBody(std::string &message, std::string_view body, bool isClosing, bool isHead)
+{
+    appendField(message, "Content-Type", "application/json");
+    appendField(message, "Cache-Control", "no-store");
+    appendField(message, "Content-Length", std::to_string(body.size()));
+    if (isClosing) {
+        appendField(message, "Connection", "close");
+    }
+    message += "\r\n";
+    if (!isHead) {
+        message += body;
+    }
+}
+
+std::string toSeconds(std::chrono::milliseconds time)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(time).count();
+    return std::to_string(std::max<std::chrono::seconds::rep>(seconds, 1));
+}
+
+} // namespace
+
+std::string toMessage(const Refusal &refusal)
+{
+    const nlohmann::json body { { "reason", core::toText(refusal.error.reason) },
+                                { "verdict", core::toText(refusal.error.verdict) },
+                                { "detail", refusal.error.detail } };
+    std::string message = statusLine(refusal.status);
+    appendField(message, VerdictField, core::toText(refusal.error.verdict));
+    appendField(message, ReasonField, core::toText(refusal.error.reason));
+    if (!refusal.traceId.empty()) {
+        appendField(message, TraceField, refusal.traceId);
+    }
+    if (!refusal.host.empty()) {
+        appendField(message, HostField, refusal.host);
+    }
+    if (refusal.error.retryAfter) {
+        appendField(message, "Retry-After", toSeconds(*refusal.error.retryAfter));
+    }
+    const std::string text =
+        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    appendBody(message, text, refusal.isClosing, refusal.isHead);
+    return message;
+}
+
+std::string makeJsonAnswer(std::string_view body, bool isClosing, bool isHead)
+{
+    std::string message = statusLine(200);
+    appendBody(message, body, isClosing, isHead);
+    return message;
+}
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/refusal.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "damaskgate/core/error.h"
+
+namespace damaskgate::entry {
+
+/** An answer of this host itself to a request that it does not serve. */
+struct Refusal
+{
+    core::Error error;
+    int status = 0;
+    std::string_view traceId;
+    std::string_view host; //!< that the request should go to; empty where none is known
+    bool isClosing = false; //!< the connection ends with this answer
+    bool isHead = false; //!< the request asked for the header only
+};
+
+/** @return @p refusal as an HTTP message. */
+std::string toMessage(const Refusal &refusal);
+
+/** @return an answer of status 200 with @p body as JSON. */
+std::string makeJsonAnswer(std::string_view body, bool isClosing, bool isHead);
+
+} // namespace damaskgate::entry
--- a/src/operations/include/damaskgate/operations/operationtable.h
+++ b/src/operations/include/damaskgate/operations/operationtable.h
@@ -67,7 +67,10 @@
      *
      * @param status of the upstream's answer; only for OperationEnd::Ran
      */
-    void end(const OperationId &operation, OperationEnd end, int status, core::Instant now);
+    void end(const OperationId &operation, OperationEnd end, int status);
+
+    /** @return the host named by a ticket that is signed rightly; empty for any other. */
+    core::HostName ownerOf(std::string_view operationKey) const;
 
     /** @return operations remembered now. */
     std::size_t size() const;
@@ -90,9 +93,9 @@
     };
     using Ending = std::multimap<core::Instant, OperationId>;
 
-    core::Result<void> checkTicket(const OperationTicket &ticket,
-                                   const core::WorkspaceName &workspace, core::Instant now) const;
-    core::Error describeRepeat(const Entry &entry) const;
+    core::Result<void> checkOwner(const OperationTicket &ticket,
+                                  const core::WorkspaceName &workspace) const;
+    static core::Error describeRepeat(const Entry &entry);
     void forgetExpired(core::Instant now);
 
     OperationOptions options;
--- /dev/null
+++ b/src/routing/keyfilter.cpp
@@ -0,0 +1,164 @@
+#include "damaskgate/routing/keyfilter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <openssl/evp.h>
+
+#include "percentcoding.h"
+
+namespace damaskgate::routing {
+
+namespace {
+
+constexpr std::string_view AuthorizationField = "Authorization";
+constexpr std::string_view KeyField = "Damaskgate-Key";
+constexpr std::string_view KeyParameter = "damaskgate_key";
+constexpr std::string_view BearerScheme = "Bearer ";
+constexpr std::string_view BasicScheme = "Basic ";
+constexpr int MaxDecodings = 4; //!< of text that was percent-encoded several times
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view Blanks = " \t";
+    const auto start = text.find_first_not_of(Blanks);
+    if (start == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(start, text.find_last_not_of(Blanks) - start + 1);
+}
+
+bool hasScheme(std::string_view credentials, std::string_view scheme)
+{
+    return credentials.size() >= scheme.size()
+        && equalsIgnoringCase(credentials.substr(0, scheme.size()), scheme);
+}
+
+std::string decodeBase64(std::string_view text)
+{
+    std::string padded(text);
+    padded.resize((text.size() + 3) / 4 * 4, '=');
+    std::string decoded(padded.size() / 4 * 3, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(decoded.data()),
+                                     reinterpret_cast<const unsigned char *>(padded.data()),
+                                     static_cast<int>(padded.size()));
+    decoded.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+    return decoded;
+}
+
+bool isKeyParameter(std::string_view parameter)
+{
+    return decodePercent(parameter.substr(0, parameter.find('='))) == KeyParameter;
+}
+
+std::string_view valueOf(std::string_view parameter)
+{
+    const auto separator = parameter.find('=');
+    return separator == std::string_view::npos ? std::string_view {}
+                                               : parameter.substr(separator + 1);
+}
+
+template <typename Visitor>
+void forEachParameter(std::string_view query, Visitor visit)
+{
+    for (std::size_t start = 0; start < query.size();) {
+        const auto end = std::min(query.find('&', start), query.size());
+        visit(query.substr(start, end - start));
+        start = end + 1;
+    }
+}
+
+} // namespace
+
+void KeyFilter::inspectField(std::string_view name, std::string_view value)
+{
+    if (equalsIgnoringCase(name, KeyField)) {
+        this->addKey(value);
+        return;
+    }
+    if (equalsIgnoringCase(name, AuthorizationField) && hasScheme(value, BearerScheme)) {
+        this->addKey(value.substr(BearerScheme.size()));
+    }
+}
+
+void KeyFilter::inspectQuery(std::string_view query)
+{
+    forEachParameter(query, [this](std::string_view parameter) {
+        if (isKeyParameter(parameter)) {
+            this->addKey(decodePercent(valueOf(parameter)));
+        }
+    });
+}
+
+core::Result<std::string_view> KeyFilter::key() const
+{
+    if (this->keys.empty()) {
+        return std::string_view {};
+    }
+    if (this->keys.size() > 1) {
+        return core::notRun(core::Reason::BadRequest, "several different keys were sent");
+    }
+    return std::string_view(this->keys.front());
+}
+
+bool KeyFilter::isFieldDropped(std::string_view name, std::string_view value) const
+{
+    if (equalsIgnoringCase(name, KeyField)) {
+        return true;
+    }
+    const bool isAuthorization = equalsIgnoringCase(name, AuthorizationField);
+    if (isAuthorization && hasScheme(value, BearerScheme)) {
+        return true;
+    }
+    if (isAuthorization && hasScheme(value, BasicScheme)
+        && this->containsKey(decodeBase64(trimmed(value.substr(BasicScheme.size()))))) {
+        return true;
+    }
+    return this->containsKey(name) || this->containsKey(value);
+}
+
+std::string KeyFilter::filterQuery(std::string_view query) const
+{
+    std::string kept;
+    forEachParameter(query, [this, &kept](std::string_view parameter) {
+        if (isKeyParameter(parameter) || this->containsKey(parameter)) {
+            return;
+        }
+        if (!kept.empty()) {
+            kept += '&';
+        }
+        kept += parameter;
+    });
+    return kept;
+}
+
+bool KeyFilter::containsKey(std::string_view text) const
+{
+    const auto isIn = [](std::string_view searched) {
+        return [searched](const std::string &key) {
+            return searched.find(key) != std::string_view::npos;
+        };
+    };
+    if (std::ranges::any_of(this->keys, isIn(text))) {
+        return true;
+    }
+    std::string decoded(text);
+    for (int i = 0; i < MaxDecodings && decoded.find('%') != std::string::npos; ++i) {
+        decoded = decodePercent(decoded);
+        if (std::ranges::any_of(this->keys, isIn(decoded))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void KeyFilter::addKey(std::string_view value)
+{
+    const auto key = trimmed(value);
+    if (key.empty() || std::ranges::find(this->keys, key) != this->keys.end()) {
+        return;
+    }
+    this->keys.emplace_back(key);
+}
+
+} // namespace damaskgate::routing
--- /dev/null
+++ b/src/routing/requesttarget.cpp
@@ -0,0 +1,133 @@
+#include "damaskgate/routing/requesttarget.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "percentcoding.h"
+
+namespace damaskgate::routing {
+
+namespace {
+
+constexpr std::string_view AbsolutePrefix = "http://";
+
+bool isUnreserved(char c)
+{
+    const bool isAlnum = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    return isAlnum || c == '-' || c == '.' || c == '_' || c == '~';
+}
+
+bool isPlainPathCharacter(char c)
+{
+    constexpr std::string_view Others = "/!$&'()*+,;=:@";
+    return isUnreserved(c) || Others.find(c) != std::string_view::npos;
+}
+
+bool isQueryCharacter(char c)
+{
+    return c > ' ' && c != 0x7f && c != '#' && c != '\\';
+}
+
+core::Result<std::string_view> toOriginForm(std::string_view target)
+{
+    if (target.starts_with('/')) {
+        return target;
+    }
+    const bool isAbsolute = target.size() > AbsolutePrefix.size()
+        && equalsIgnoringCase(target.substr(0, AbsolutePrefix.size()), AbsolutePrefix);
+    const auto authority = isAbsolute ? target.substr(AbsolutePrefix.size()) : std::string_view {};
+    const auto pathStart = authority.find('/');
+    if (pathStart == std::string_view::npos || pathStart == 0) {
+        return core::notRun(core::Reason::BadRequest, "target has no path");
+    }
+    if (authority.substr(0, pathStart).find_first_of("@?") != std::string_view::npos) {
+        return core::notRun(core::Reason::BadRequest, "target has a bad authority");
+    }
+    return authority.substr(pathStart);
+}
+
+// Appends one encoded octet; false when it may be read as structure by some upstream.
+bool appendEncoded(std::string &path, std::string_view encoded)
+{
+    if (encoded.size() < 3 || !hexValue(encoded[1]) || !hexValue(encoded[2])) {
+        return false;
+    }
+    const auto octet = *hexValue(encoded[1]) << 4U | *hexValue(encoded[2]);
+    const char c = static_cast<char>(octet);
+    if (octet < 0x20 || octet == 0x7f || c == '/' || c == '\\' || c == '%') {
+        return false;
+    }
+    if (isUnreserved(c)) {
+        path += c;
+        return true;
+    }
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    path += '%';
+    path += Digits[octet >> 4U];
+    path += Digits[octet & 0xfU];
+    return true;
+}
+
+core::Result<std::string> normalizePath(std::string_view path)
+{
+    std::string normal;
+    normal.reserve(path.size());
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        if (isPlainPathCharacter(path[i])) {
+            normal += path[i];
+            continue;
+        }
+        if (path[i] != '%' || !appendEncoded(normal, path.substr(i, 3))) {
+            return core::notRun(core::Reason::BadRequest, "path has a forbidden character");
+        }
+        i += 2;
+    }
+    return normal;
+}
+
+// Path parameters (";x") do not hide a dot segment: some upstreams cut them off.
+bool isDotSegment(std::string_view segment)
+{
+    const auto name = segment.substr(0, segment.find(';'));
+    return name == "." || name == "..";
+}
+
+bool hasAmbiguousSegment(std::string_view path)
+{
+    if (path.find("//") != std::string_view::npos) {
+        return true;
+    }
+    for (std::size_t start = 1; start <= path.size();) {
+        const auto end = std::min(path.find('/', start), path.size());
+        if (isDotSegment(path.substr(start, end - start))) {
+            return true;
+        }
+        start = end + 1;
+    }
+    return false;
+}
+
+} // namespace
+
+core::Result<RequestTarget> normalizeTarget(std::string_view target)
+{
+    const auto origin = toOriginForm(target);
+    if (!origin) {
+        return tl::unexpected(origin.error());
+    }
+    const auto queryStart = std::min(origin->find('?'), origin->size());
+    auto path = normalizePath(origin->substr(0, queryStart));
+    if (!path) {
+        return tl::unexpected(path.error());
+    }
+    if (hasAmbiguousSegment(*path)) {
+        return core::notRun(core::Reason::BadRequest, "path has an empty or dot segment");
+    }
+    const auto query = origin->substr(std::min(queryStart + 1, origin->size()));
+    if (!std::ranges::all_of(query, isQueryCharacter)) {
+        return core::notRun(core::Reason::BadRequest, "query has a forbidden character");
+    }
+    return RequestTarget { std::move(*path), std::string(query) };
+}
+
+} // namespace damaskgate::routing
--- /dev/null
+++ b/src/routing/routeindex.cpp
@@ -0,0 +1,106 @@
+#include "damaskgate/routing/routeindex.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace damaskgate::routing {
+
+namespace {
+
+std::string_view withoutTrailingSlash(std::string_view prefix)
+{
+    return prefix.ends_with('/') ? prefix.substr(0, prefix.size() - 1) : prefix;
+}
+
+bool takesMethod(const settings::Route &route, std::string_view method)
+{
+    return route.methods.empty() || std::ranges::find(route.methods, method) != route.methods.end();
+}
+
+} // namespace
+
+std::size_t RouteIndex::TextHash::operator()(std::string_view text) const noexcept
+{
+    return std::hash<std::string_view> {}(text);
+}
+
+std::size_t RouteIndex::DigestHash::operator()(const core::Sha256 &digest) const noexcept
+{
+    std::size_t value = 0;
+    std::memcpy(&value, digest.data(), sizeof(value));
+    return value;
+}
+
+RouteIndex::RouteIndex(settings::SettingsPtr settings) : source(std::move(settings))
+{
+    if (!this->source) {
+        return;
+    }
+    for (const auto &[name, route] : this->source->routes) {
+        this->routesByPrefix[std::string(withoutTrailingSlash(route.pathPrefix))].push_back(&route);
+    }
+    this->workspacesByKey.reserve(this->source->workspaces.size());
+    for (const auto &[name, workspace] : this->source->workspaces) {
+        for (const core::Sha256 &hash : workspace.keyHashes) {
+            this->workspacesByKey.emplace(hash, &workspace);
+        }
+    }
+}
+
+core::Result<const settings::Route *> RouteIndex::findRoute(std::string_view path,
+                                                            std::string_view method) const
+{
+    const RouteList *routes = this->findLongestPrefix(path);
+    if (routes == nullptr) {
+        return core::notRun(core::Reason::RouteUnknown, "no route for this path");
+    }
+    const auto takes = [method](const settings::Route *route) {
+        return takesMethod(*route, method);
+    };
+    const auto found = std::ranges::find_if(*routes, takes);
+    if (found == routes->end()) {
+        return core::notRun(core::Reason::RouteUnknown, "no route for this method");
+    }
+    return *found;
+}
+
+core::Result<const settings::Workspace *> RouteIndex::findWorkspace(std::string_view key) const
+{
+    if (key.empty()) {
+        return core::notRun(core::Reason::KeyMissing, "this route needs a key");
+    }
+    const auto found = this->workspacesByKey.find(core::sha256(key));
+    if (found == this->workspacesByKey.end()) {
+        return core::notRun(core::Reason::KeyUnknown, "the key is not in force");
+    }
+    return found->second;
+}
+
+const settings::SettingsPtr &RouteIndex::settings() const
+{
+    return this->source;
+}
+
+const RouteIndex::RouteList *RouteIndex::findLongestPrefix(std::string_view path) const
+{
+    std::string_view prefix = withoutTrailingSlash(path);
+    while (true) {
+        const auto found = this->routesByPrefix.find(prefix);
+        if (found != this->routesByPrefix.end()) {
+            return &found->second;
+        }
+        if (prefix.empty()) {
+            return nullptr;
+        }
+        prefix = prefix.substr(0, prefix.rfind('/'));
+    }
+}
+
+bool isAllowed(const settings::Route &route, const core::WorkspaceName &workspace)
+{
+    return route.workspaces.empty()
+        || std::ranges::find(route.workspaces, workspace) != route.workspaces.end();
+}
+
+} // namespace damaskgate::routing
