--- /dev/null
+++ b/src/platform/hostlist.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "damaskgate/platform/ihostlistlistener.h"
+
+namespace damaskgate::platform {
+
+/**
+ * Reads the platform's list of hosts. Entries that cannot be understood are left out: the list is
+ * a hint, and one odd entry must not hide the others.
+ *
+ * @return nothing when @p text is no JSON list
+ */
+std::optional<std::vector<ListedHost>> parseHostList(std::string_view text);
+
+} // namespace damaskgate::platform
