--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,117 @@
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+#include "commands.h"
+
+namespace {
+
+using damaskgate::ctl::ExitCode;
+using damaskgate::ctl::Output;
+using damaskgate::ctl::PackOptions;
+
+//! What the command line asked for.
+struct Request
+{
+    std::string directory;
+    std::string otherDirectory;
+    std::string entry;
+    PackOptions pack;
+    std::function<ExitCode(const Output &)> run;
+};
+
+void addCheck(CLI::App &app, Request &request)
+{
+    CLI::App *command = app.add_subcommand("check", "check a settings tree, list every fault");
+    command->add_option("DIR", request.directory, "root of the tree")->required();
+    command->callback([&request] {
+        request.run = [&request](const Output &output) {
+            return damaskgate::ctl::runCheck(request.directory, output);
+        };
+    });
+}
+
+void addExplain(CLI::App &app, Request &request)
+{
+    CLI::App *command =
+        app.add_subcommand("explain", "show each setting of an entry and where it was set");
+    command->add_option("DIR", request.directory, "root of the tree")->required();
+    command->add_option("BRANCH", request.entry, "<kind>/<name>, such as services/bokun")
+        ->required();
+    command->callback([&request] {
+        request.run = [&request](const Output &output) {
+            return damaskgate::ctl::runExplain(request.directory, request.entry, output);
+        };
+    });
+}
+
+void addDiff(CLI::App &app, Request &request)
+{
+    CLI::App *command =
+        app.add_subcommand("diff", "list the effective settings in which two trees differ");
+    command->add_option("BEFORE", request.directory, "root of a tree")->required();
+    command->add_option("AFTER", request.otherDirectory, "root of a tree")->required();
+    command->callback([&request] {
+        request.run = [&request](const Output &output) {
+            return damaskgate::ctl::runDiff(request.directory, request.otherDirectory, output);
+        };
+    });
+}
+
+void addPack(CLI::App &app, Request &request)
+{
+    CLI::App *command = app.add_subcommand("pack", "make the values to publish from a tree");
+    PackOptions &pack = request.pack;
+    command->add_option("DIR", pack.directory, "root of the tree")->required();
+    command->add_option("--out", pack.target, "receives manifest and branch/<sha256>")->required();
+    CLI::Option *revision =
+        command->add_option("--revision", pack.revision, "number of the revision")
+            ->check(CLI::PositiveNumber);
+    CLI::Option *after = command->add_option(
+        "--after", pack.after, "manifest that was published last: take the next number");
+    command->add_option("--previous", pack.previous,
+                        "tree of the former fleet, while a change of hosts is under way");
+    command->callback([&request, revision, after] {
+        if (revision->empty() && after->empty()) {
+            throw CLI::RequiredError("--revision or --after");
+        }
+        request.run = [&request](const Output &output) {
+            return damaskgate::ctl::runPack(request.pack, output);
+        };
+    });
+}
+
+void addKey(CLI::App &app, Request &request)
+{
+    CLI::App *command = app.add_subcommand("key", "make keys");
+    command->require_subcommand(1);
+    command->add_subcommand("new", "print a new key and the hash to store for it")
+        ->callback([&request] { request.run = damaskgate::ctl::runKeyNew; });
+    command->add_subcommand("hash", "print the hash of a key read from the standard input")
+        ->callback([&request] {
+            request.run = [](const Output &output) {
+                return damaskgate::ctl::runKeyHash(std::cin, output);
+            };
+        });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Request request;
+    CLI::App app("Checks, explains and packs the settings of damaskgate");
+    app.set_version_flag("--version", "damaskgate-ctl " DAMASKGATE_VERSION);
+    app.require_subcommand(1);
+    addCheck(app, request);
+    addExplain(app, request);
+    addPack(app, request);
+    addKey(app, request);
+    addDiff(app, request);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        return app.exit(error) == 0 ? 0 : static_cast<int>(ExitCode::Usage);
+    }
+    return static_cast<int>(request.run({ std::cout, std::cerr }));
+}
--- a/src/settings/include/damaskgate/settings/settingstree.h
+++ b/src/settings/include/damaskgate/settings/settingstree.h
@@ -27,6 +27,9 @@
 /** @return whether the branch @p name describes domains or hosts, or defaults for them. */
 bool isFleetBranch(std::string_view name);
 
+/** @return `<kind>/<name>` of every entry, sorted by kind; faulty branches are left out. */
+std::vector<std::string> listEntries(const TreeFiles &tree);
+
 /** A setting of one entry, and where it was set. */
 struct ExplainedSetting
 {
--- a/src/settings/settingstree.cpp
+++ b/src/settings/settingstree.cpp
@@ -148,6 +148,21 @@
     return name == RootBranch || kind == kinds::Domains || kind == kinds::Hosts;
 }
 
+std::vector<std::string> listEntries(const TreeFiles &tree)
+{
+    Findings ignored;
+    const BranchDocuments documents(tree, ignored);
+    std::vector<std::string> names;
+    for (const KindExplainer &explainer : KindExplainers) {
+        for (const std::string &branch : documents.branchesOf(explainer.kind)) {
+            for (const RawEntry &entry : documents.entriesOf(branch)) {
+                names.push_back(std::string(explainer.kind) + "/" + entry.name);
+            }
+        }
+    }
+    return names;
+}
+
 tl::expected<std::vector<ExplainedSetting>, Findings> explainEntry(const TreeFiles &tree,
                                                                    std::string_view entry)
 {
