--- a/src/lease/lease.capnp.h
+++ b/src/lease/lease.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -23,1085 +23,1342 @@
 CAPNP_DECLARE_SCHEMA(ed00120c29a7ec3e);
 CAPNP_DECLARE_SCHEMA(cb62e399971a9fa9);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace damaskgate {
 namespace lease {
 namespace wire {
 
-struct Batch {
-  Batch() = delete;
+struct Batch
+{
+    Batch() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(95b8b575ab3c6cbe, 2, 5)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(95b8b575ab3c6cbe, 2, 5)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Request {
-  Request() = delete;
+struct Request
+{
+    Request() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d4847ec6f23b1bea, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d4847ec6f23b1bea, 2, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Reply {
-  Reply() = delete;
+struct Reply
+{
+    Reply() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff04da11f9695c6d, 5, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ff04da11f9695c6d, 5, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Release {
-  Release() = delete;
+struct Release
+{
+    Release() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85a0aa95d23c254b, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(85a0aa95d23c254b, 2, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Ask {
-  Ask() = delete;
+struct Ask
+{
+    Ask() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed00120c29a7ec3e, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ed00120c29a7ec3e, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Offer {
-  Offer() = delete;
+struct Offer
+{
+    Offer() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cb62e399971a9fa9, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(cb62e399971a9fa9, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class Batch::Reader {
+class Batch::Reader
+{
 public:
-  typedef Batch Reads;
+    typedef Batch Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getRosterHash() const;
+    inline ::uint64_t getRosterHash() const;
 
-  inline  ::uint64_t getRosterRevision() const;
+    inline ::uint64_t getRosterRevision() const;
 
-  inline bool hasRequests() const;
-  inline  ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Reader getRequests() const;
+    inline bool hasRequests() const;
+    inline ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Reader
+    getRequests() const;
 
-  inline bool hasReplies() const;
-  inline  ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Reader getReplies() const;
+    inline bool hasReplies() const;
+    inline ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Reader
+    getReplies() const;
 
-  inline bool hasReleases() const;
-  inline  ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Reader getReleases() const;
+    inline bool hasReleases() const;
+    inline ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Reader
+    getReleases() const;
 
-  inline bool hasAsks() const;
-  inline  ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Reader getAsks() const;
+    inline bool hasAsks() const;
+    inline ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Reader
+    getAsks() const;
 
-  inline bool hasOffers() const;
-  inline  ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Reader getOffers() const;
+    inline bool hasOffers() const;
+    inline ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Reader
+    getOffers() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Batch::Builder {
+class Batch::Builder
+{
 public:
-  typedef Batch Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Batch Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getRosterHash();
-  inline void setRosterHash( ::uint64_t value);
-
-  inline  ::uint64_t getRosterRevision();
-  inline void setRosterRevision( ::uint64_t value);
-
-  inline bool hasRequests();
-  inline  ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Builder getRequests();
-  inline void setRequests( ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Builder initRequests(unsigned int size);
-  inline void adoptRequests(::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>> disownRequests();
-
-  inline bool hasReplies();
-  inline  ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Builder getReplies();
-  inline void setReplies( ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Builder initReplies(unsigned int size);
-  inline void adoptReplies(::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>> disownReplies();
-
-  inline bool hasReleases();
-  inline  ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Builder getReleases();
-  inline void setReleases( ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Builder initReleases(unsigned int size);
-  inline void adoptReleases(::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>> disownReleases();
-
-  inline bool hasAsks();
-  inline  ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Builder getAsks();
-  inline void setAsks( ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Builder initAsks(unsigned int size);
-  inline void adoptAsks(::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>> disownAsks();
-
-  inline bool hasOffers();
-  inline  ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Builder getOffers();
-  inline void setOffers( ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Builder initOffers(unsigned int size);
-  inline void adoptOffers(::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>> disownOffers();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getRosterHash();
+    inline void setRosterHash(::uint64_t value);
+
+    inline ::uint64_t getRosterRevision();
+    inline void setRosterRevision(::uint64_t value);
+
+    inline bool hasRequests();
+    inline ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Builder
+    getRequests();
+    inline void setRequests(
+        ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Builder
+    initRequests(unsigned int size);
+    inline void adoptRequests(
+        ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>
+    disownRequests();
+
+    inline bool hasReplies();
+    inline ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Builder
+    getReplies();
+    inline void setReplies(
+        ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Builder
+    initReplies(unsigned int size);
+    inline void adoptReplies(
+        ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>
+    disownReplies();
+
+    inline bool hasReleases();
+    inline ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Builder
+    getReleases();
+    inline void setReleases(
+        ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Builder
+    initReleases(unsigned int size);
+    inline void adoptReleases(
+        ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>
+    disownReleases();
+
+    inline bool hasAsks();
+    inline ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Builder getAsks();
+    inline void
+    setAsks(::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Builder
+    initAsks(unsigned int size);
+    inline void
+    adoptAsks(::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>
+                  &&value);
+    inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>
+    disownAsks();
+
+    inline bool hasOffers();
+    inline ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Builder
+    getOffers();
+    inline void
+    setOffers(::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Builder
+    initOffers(unsigned int size);
+    inline void adoptOffers(
+        ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>
+    disownOffers();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Batch::Pipeline {
+class Batch::Pipeline
+{
 public:
-  typedef Batch Pipelines;
+    typedef Batch Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Request::Reader {
+class Request::Reader
+{
 public:
-  typedef Request Reads;
+    typedef Request Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition() const;
+    inline ::uint32_t getPartition() const;
 
-  inline  ::uint32_t getEpoch() const;
+    inline ::uint32_t getEpoch() const;
 
-  inline  ::uint64_t getSequence() const;
+    inline ::uint64_t getSequence() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Request::Builder {
+class Request::Builder
+{
 public:
-  typedef Request Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Request Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition();
-  inline void setPartition( ::uint32_t value);
+    inline ::uint32_t getPartition();
+    inline void setPartition(::uint32_t value);
 
-  inline  ::uint32_t getEpoch();
-  inline void setEpoch( ::uint32_t value);
+    inline ::uint32_t getEpoch();
+    inline void setEpoch(::uint32_t value);
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+    inline ::uint64_t getSequence();
+    inline void setSequence(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Request::Pipeline {
+class Request::Pipeline
+{
 public:
-  typedef Request Pipelines;
+    typedef Request Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Reply::Reader {
+class Reply::Reader
+{
 public:
-  typedef Reply Reads;
+    typedef Reply Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition() const;
+    inline ::uint32_t getPartition() const;
 
-  inline  ::uint16_t getOutcome() const;
+    inline ::uint16_t getOutcome() const;
 
-  inline  ::uint32_t getEpoch() const;
+    inline ::uint32_t getEpoch() const;
 
-  inline  ::uint64_t getSequence() const;
+    inline ::uint64_t getSequence() const;
 
-  inline  ::uint64_t getIncarnation() const;
+    inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getHolderIncarnation() const;
+    inline ::uint64_t getHolderIncarnation() const;
 
-  inline bool hasHolderHost() const;
-  inline  ::capnp::Text::Reader getHolderHost() const;
+    inline bool hasHolderHost() const;
+    inline ::capnp::Text::Reader getHolderHost() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Reply::Builder {
+class Reply::Builder
+{
 public:
-  typedef Reply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Reply Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition();
-  inline void setPartition( ::uint32_t value);
+    inline ::uint32_t getPartition();
+    inline void setPartition(::uint32_t value);
 
-  inline  ::uint16_t getOutcome();
-  inline void setOutcome( ::uint16_t value);
+    inline ::uint16_t getOutcome();
+    inline void setOutcome(::uint16_t value);
 
-  inline  ::uint32_t getEpoch();
-  inline void setEpoch( ::uint32_t value);
+    inline ::uint32_t getEpoch();
+    inline void setEpoch(::uint32_t value);
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+    inline ::uint64_t getSequence();
+    inline void setSequence(::uint64_t value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+    inline ::uint64_t getIncarnation();
+    inline void setIncarnation(::uint64_t value);
 
-  inline  ::uint64_t getHolderIncarnation();
-  inline void setHolderIncarnation( ::uint64_t value);
+    inline ::uint64_t getHolderIncarnation();
+    inline void setHolderIncarnation(::uint64_t value);
 
-  inline bool hasHolderHost();
-  inline  ::capnp::Text::Builder getHolderHost();
-  inline void setHolderHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHolderHost(unsigned int size);
-  inline void adoptHolderHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHolderHost();
+    inline bool hasHolderHost();
+    inline ::capnp::Text::Builder getHolderHost();
+    inline void setHolderHost(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHolderHost(unsigned int size);
+    inline void adoptHolderHost(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHolderHost();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Reply::Pipeline {
+class Reply::Pipeline
+{
 public:
-  typedef Reply Pipelines;
+    typedef Reply Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Release::Reader {
+class Release::Reader
+{
 public:
-  typedef Release Reads;
+    typedef Release Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition() const;
+    inline ::uint32_t getPartition() const;
 
-  inline  ::uint64_t getSequence() const;
+    inline ::uint64_t getSequence() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Release::Builder {
+class Release::Builder
+{
 public:
-  typedef Release Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Release Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition();
-  inline void setPartition( ::uint32_t value);
+    inline ::uint32_t getPartition();
+    inline void setPartition(::uint32_t value);
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+    inline ::uint64_t getSequence();
+    inline void setSequence(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Release::Pipeline {
+class Release::Pipeline
+{
 public:
-  typedef Release Pipelines;
+    typedef Release Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Ask::Reader {
+class Ask::Reader
+{
 public:
-  typedef Ask Reads;
+    typedef Ask Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition() const;
+    inline ::uint32_t getPartition() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Ask::Builder {
+class Ask::Builder
+{
 public:
-  typedef Ask Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Ask Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition();
-  inline void setPartition( ::uint32_t value);
+    inline ::uint32_t getPartition();
+    inline void setPartition(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Ask::Pipeline {
+class Ask::Pipeline
+{
 public:
-  typedef Ask Pipelines;
+    typedef Ask Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Offer::Reader {
+class Offer::Reader
+{
 public:
-  typedef Offer Reads;
+    typedef Offer Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition() const;
+    inline ::uint32_t getPartition() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Offer::Builder {
+class Offer::Builder
+{
 public:
-  typedef Offer Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Offer Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getPartition();
-  inline void setPartition( ::uint32_t value);
+    inline ::uint32_t getPartition();
+    inline void setPartition(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Offer::Pipeline {
+class Offer::Pipeline
+{
 public:
-  typedef Offer Pipelines;
+    typedef Offer Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline  ::uint64_t Batch::Reader::getRosterHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Batch::Reader::getRosterHash() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Batch::Builder::getRosterHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Batch::Builder::getRosterHash()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Batch::Builder::setRosterHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Batch::Builder::setRosterHash(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Batch::Reader::getRosterRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Batch::Reader::getRosterRevision() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Batch::Builder::getRosterRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Batch::Builder::getRosterRevision()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Batch::Builder::setRosterRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Batch::Builder::setRosterRevision(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Batch::Reader::hasRequests() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Batch::Reader::hasRequests() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Batch::Builder::hasRequests() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Batch::Builder::hasRequests()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getRequests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Reader
+Batch::Reader::getRequests() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getRequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::getRequests()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Batch::Builder::setRequests( ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Batch::Builder::setRequests(
+    ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initRequests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::initRequests(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Batch::Builder::adoptRequests(
-    ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>> Batch::Builder::disownRequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Request,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Batch::Reader::hasReplies() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Batch::Builder::hasReplies() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getReplies() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getReplies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Batch::Builder::setReplies( ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initReplies(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>
+Batch::Builder::disownRequests()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Request, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Batch::Reader::hasReplies() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Batch::Builder::hasReplies()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Reader
+Batch::Reader::getReplies() const
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::getReplies()
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Batch::Builder::setReplies(
+    ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::initReplies(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Batch::Builder::adoptReplies(
-    ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>> Batch::Builder::disownReplies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Reply,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Batch::Reader::hasReleases() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Batch::Builder::hasReleases() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getReleases() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Batch::Builder::setReleases( ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initReleases(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>
+Batch::Builder::disownReplies()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Reply, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Batch::Reader::hasReleases() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Batch::Builder::hasReleases()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Reader
+Batch::Reader::getReleases() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::getReleases()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Batch::Builder::setReleases(
+    ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::initReleases(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Batch::Builder::adoptReleases(
-    ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>> Batch::Builder::disownReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Release,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Batch::Reader::hasAsks() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Batch::Builder::hasAsks() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getAsks() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getAsks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Batch::Builder::setAsks( ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initAsks(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>
+Batch::Builder::disownReleases()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Release, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Batch::Reader::hasAsks() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Batch::Builder::hasAsks()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Reader
+Batch::Reader::getAsks() const
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>::get(
+            _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::getAsks()
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>::get(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Batch::Builder::setAsks(
+    ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>::set(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::initAsks(unsigned int size)
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>::init(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Batch::Builder::adoptAsks(
-    ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>> Batch::Builder::disownAsks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Ask,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool Batch::Reader::hasOffers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Batch::Builder::hasOffers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getOffers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getOffers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Batch::Builder::setOffers( ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initOffers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>::adopt(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>
+Batch::Builder::disownAsks()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Ask, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Batch::Reader::hasOffers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Batch::Builder::hasOffers()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Reader
+Batch::Reader::getOffers() const
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>::get(
+            _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::getOffers()
+{
+    return ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>::get(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Batch::Builder::setOffers(
+    ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::
+        PointerHelpers<::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>::set(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::initOffers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Batch::Builder::adoptOffers(
-    ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>> Batch::Builder::disownOffers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::lease::wire::Offer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>
+Batch::Builder::disownOffers()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::lease::wire::Offer, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Request::Reader::getPartition() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Request::Reader::getPartition() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Request::Builder::getPartition() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Request::Builder::getPartition()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setPartition( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setPartition(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Request::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Request::Reader::getEpoch() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Request::Builder::getEpoch() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Request::Builder::getEpoch()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setEpoch( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setEpoch(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Request::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Request::Reader::getSequence() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Request::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Request::Builder::getSequence()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Request::Builder::setSequence(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Reply::Reader::getPartition() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Reply::Reader::getPartition() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Reply::Builder::getPartition() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Reply::Builder::getPartition()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setPartition( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setPartition(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Reply::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Reply::Reader::getOutcome() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Reply::Builder::getOutcome() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Reply::Builder::getOutcome()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setOutcome( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setOutcome(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Reply::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Reply::Reader::getEpoch() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Reply::Builder::getEpoch() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Reply::Builder::getEpoch()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setEpoch( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setEpoch(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Reply::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Reader::getSequence() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Reply::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Builder::getSequence()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setSequence(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Reply::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Reply::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Builder::getIncarnation()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setIncarnation(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Reply::Reader::getHolderIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Reader::getHolderIncarnation() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Reply::Builder::getHolderIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Builder::getHolderIncarnation()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setHolderIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setHolderIncarnation(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Reply::Reader::hasHolderHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Reply::Reader::hasHolderHost() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Reply::Builder::hasHolderHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Reply::Builder::hasHolderHost()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Reply::Reader::getHolderHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Reply::Reader::getHolderHost() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Reply::Builder::getHolderHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Reply::Builder::getHolderHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Reply::Builder::setHolderHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Reply::Builder::setHolderHost(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Reply::Builder::initHolderHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Reply::Builder::initHolderHost(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Reply::Builder::adoptHolderHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Reply::Builder::adoptHolderHost(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Reply::Builder::disownHolderHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Reply::Builder::disownHolderHost()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Release::Reader::getPartition() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Release::Reader::getPartition() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Release::Builder::getPartition() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Release::Builder::getPartition()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Release::Builder::setPartition( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Release::Builder::setPartition(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Release::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Release::Reader::getSequence() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Release::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Release::Builder::getSequence()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Release::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Release::Builder::setSequence(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Ask::Reader::getPartition() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Ask::Reader::getPartition() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Ask::Builder::getPartition() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Ask::Builder::getPartition()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Ask::Builder::setPartition( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Ask::Builder::setPartition(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Offer::Reader::getPartition() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Offer::Reader::getPartition() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Offer::Builder::getPartition() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Offer::Builder::getPartition()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Offer::Builder::setPartition( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Offer::Builder::setPartition(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-}  // namespace
-}  // namespace
-}  // namespace
+} // namespace wire
+} // namespace lease
+} // namespace damaskgate
 
 CAPNP_END_HEADER
-
--- /dev/null
+++ b/src/lease/leasecandidate.cpp
@@ -0,0 +1,365 @@
+#include "damaskgate/lease/leasecandidate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskgate::lease {
+
+namespace {
+
+constexpr core::Duration StayAwayTime = std::chrono::seconds(1);
+
+} // namespace
+
+LeaseCandidate::LeaseCandidate(HolderId self, std::uint64_t seed, const LeasePolicy &policy,
+                               const LeaseGuards &guards)
+    : self(std::move(self)), policy(policy), guards(guards), states(PartitionCount),
+      random(seed | 1U)
+{}
+
+void LeaseCandidate::applyRoster(RosterPtr newRoster)
+{
+    this->roster = std::move(newRoster);
+    //! NOTE A round that the old grantors answered must not be counted by the new sets.
+    std::ranges::for_each(this->states, [](State &state) { state.round = {}; });
+    this->updateRanks();
+}
+
+void LeaseCandidate::setLiveHosts(std::span<const core::HostName> hosts)
+{
+    this->live = { hosts.begin(), hosts.end() };
+    this->live.erase(this->self.host);
+    this->updateRanks();
+}
+
+void LeaseCandidate::updateRanks()
+{
+    if (!this->roster) {
+        return;
+    }
+    for (PartitionId partition = 0; partition < PartitionCount; ++partition) {
+        const auto &ranking = this->roster->ranking(partition);
+        const auto own = std::ranges::find(ranking, this->self.host);
+        const auto better = std::ranges::count_if(
+            ranking.begin(), own, [this](const auto &host) { return this->live.contains(host); });
+        const bool isRanked = own != ranking.end();
+        this->states[partition].rank =
+            isRanked ? static_cast<std::size_t>(better) : Roster::RankingLength;
+    }
+}
+
+void LeaseCandidate::tick(core::Instant now)
+{
+    if (!this->roster) {
+        return;
+    }
+    // All holdings are renewed at the same time, so that requests share datagrams.
+    const bool isRenewalDue = now >= this->nextRenewal;
+    if (isRenewalDue) {
+        this->nextRenewal = now + this->policy.renewInterval;
+    }
+    for (PartitionId partition = 0; partition < PartitionCount; ++partition) {
+        this->tickPartition(partition, isRenewalDue, now);
+    }
+}
+
+void LeaseCandidate::tickPartition(PartitionId partition, bool isRenewalDue, core::Instant now)
+{
+    State &state = this->states[partition];
+    if (state.isHeld && now >= state.held.validUntil) {
+        this->lose(partition);
+    }
+    if (state.isHeld) {
+        if (isRenewalDue) {
+            this->startRound(partition, now);
+        }
+        return;
+    }
+    if (now >= state.nextAttempt && this->wants(state, now)) {
+        state.nextAttempt = now + this->policy.retryInterval + this->jitter();
+        this->startRound(partition, now);
+    }
+}
+
+bool LeaseCandidate::wants(const State &state, core::Instant now) const
+{
+    if (this->isLeaving || state.isReleasing) {
+        return false;
+    }
+    return state.rank == 0 || (state.rank < Roster::HomeCount && now < state.demandUntil);
+}
+
+void LeaseCandidate::startRound(PartitionId partition, core::Instant now)
+{
+    State &state = this->states[partition];
+    state.round = {};
+    state.round.sequence = ++this->sequence;
+    state.round.sentAt = now;
+    for (const core::HostName &grantor : this->grantorsOf(partition)) {
+        this->batchTo(grantor).requests.push_back({ partition, state.epoch, this->sequence });
+    }
+}
+
+void LeaseCandidate::onReply(const core::HostName &from, const LeaseReply &reply, core::Instant now)
+{
+    if (!this->roster || reply.partition >= PartitionCount) {
+        return;
+    }
+    State &state = this->states[reply.partition];
+    const bool isCurrent =
+        reply.sequence == state.round.sequence && reply.incarnation == this->self.incarnation;
+    if (state.round.sequence == 0 || (!isCurrent && this->guards.ignoresOldReplies)) {
+        return;
+    }
+    if (state.isHeld && now >= state.held.validUntil) {
+        this->lose(reply.partition);
+        return;
+    }
+    if (reply.outcome == LeaseOutcome::Granted) {
+        this->onGrant(reply.partition, from, reply, now);
+        return;
+    }
+    this->onDenial(reply.partition, from, reply, now);
+}
+
+void LeaseCandidate::onGrant(PartitionId partition, const core::HostName &from,
+                             const LeaseReply &reply, core::Instant now)
+{
+    State &state = this->states[partition];
+    state.round.granted.insert(from);
+    state.round.predecessors.insert(reply.holder);
+    if (!this->isMajority(partition, state.round.granted)) {
+        return;
+    }
+    const core::Instant start = this->guards.countsFromSend ? state.round.sentAt : now;
+    const core::Instant validUntil = start + this->policy.leaseTime;
+    if (state.isHeld) {
+        state.held.validUntil = std::max(state.held.validUntil, validUntil);
+        return;
+    }
+    if (validUntil > now) {
+        this->acquire(partition, validUntil, now);
+    }
+}
+
+void LeaseCandidate::acquire(PartitionId partition, core::Instant validUntil, core::Instant now)
+{
+    State &state = this->states[partition];
+    state.isHeld = true;
+    state.held = { state.epoch, now, validUntil, std::nullopt };
+    if (state.round.predecessors.size() == 1) {
+        state.held.predecessor = *state.round.predecessors.begin();
+    }
+    state.hint = this->self.host;
+    this->changes.push_back({ LeaseChange::Kind::Acquired, partition, state.epoch, std::nullopt });
+}
+
+void LeaseCandidate::onDenial(PartitionId partition, const core::HostName &from,
+                              const LeaseReply &reply, core::Instant now)
+{
+    State &state = this->states[partition];
+    if (reply.holder.holder.host.isEmpty()) {
+        return;
+    }
+    auto &deniers = state.round.denied[reply.holder];
+    deniers.insert(from);
+    state.hint = reply.holder.holder.host;
+    if (state.isHeld || !this->isMajority(partition, deniers)) {
+        return;
+    }
+    const core::HostName holder = reply.holder.holder.host;
+    this->abandonRound(partition, now);
+    if (this->isBetterRanked(partition, this->self.host, holder)) {
+        this->batchTo(holder).asks.push_back({ partition });
+    }
+}
+
+void LeaseCandidate::abandonRound(PartitionId partition, core::Instant now)
+{
+    State &state = this->states[partition];
+    // Promises of a minority would keep the others out for a whole promise time.
+    for (const core::HostName &grantor : this->grantorsOf(partition)) {
+        this->batchTo(grantor).releases.push_back({ partition, state.round.sequence });
+    }
+    state.round = {};
+    state.nextAttempt = now + this->policy.retryInterval + this->jitter();
+}
+
+void LeaseCandidate::onAsk(const core::HostName &from, const HandoverAsk &ask, core::Instant now)
+{
+    if (!this->roster || ask.partition >= PartitionCount) {
+        return;
+    }
+    const State &state = this->states[ask.partition];
+    if (!this->holding(ask.partition, now) || now < state.handoverFrom
+        || !this->isBetterRanked(ask.partition, from, this->self.host)) {
+        return;
+    }
+    this->beginRelease(ask.partition, from, now);
+}
+
+void LeaseCandidate::onOffer(const HandoverOffer &offer, core::Instant now)
+{
+    if (offer.partition >= PartitionCount) {
+        return;
+    }
+    State &state = this->states[offer.partition];
+    state.demandUntil = now + this->policy.demandTime;
+    state.nextAttempt = now;
+}
+
+void LeaseCandidate::noteDemand(PartitionId partition, core::Instant now)
+{
+    State &state = this->states[partition];
+    if (now >= state.demandUntil) {
+        const auto rank = static_cast<core::Duration::rep>(state.rank);
+        state.nextAttempt = std::max(state.nextAttempt, now + this->policy.rankDelay * rank);
+    }
+    state.demandUntil = now + this->policy.demandTime;
+}
+
+void LeaseCandidate::leave(core::Instant now)
+{
+    this->isLeaving = true;
+    for (PartitionId partition = 0; partition < PartitionCount; ++partition) {
+        if (!this->holding(partition, now)) {
+            continue;
+        }
+        const auto others = this->homes(partition);
+        const auto successor = others.empty() ? std::nullopt : std::optional(others.front());
+        this->beginRelease(partition, successor, now);
+    }
+}
+
+void LeaseCandidate::beginRelease(PartitionId partition,
+                                  const std::optional<core::HostName> &successor, core::Instant now)
+{
+    State &state = this->states[partition];
+    state.held.validUntil = now;
+    state.isHeld = false;
+    state.isReleasing = true;
+    state.successor = successor;
+    state.round = {};
+    this->changes.push_back({ LeaseChange::Kind::Releasing, partition, state.epoch, successor });
+    ++state.epoch;
+}
+
+void LeaseCandidate::confirmRelease(PartitionId partition, core::Instant now)
+{
+    State &state = this->states[partition];
+    if (!state.isReleasing) {
+        return;
+    }
+    state.isReleasing = false;
+    state.nextAttempt = now + StayAwayTime;
+    state.handoverFrom = now + this->policy.handoverPause;
+    state.hint = state.successor;
+    ++this->sequence;
+    for (const core::HostName &grantor : this->grantorsOf(partition)) {
+        this->batchTo(grantor).releases.push_back({ partition, this->sequence });
+    }
+    if (state.successor) {
+        this->batchTo(*state.successor).offers.push_back({ partition });
+    }
+}
+
+void LeaseCandidate::lose(PartitionId partition)
+{
+    State &state = this->states[partition];
+    state.isHeld = false;
+    state.round = {};
+    state.nextAttempt = {};
+    state.hint.reset();
+    this->changes.push_back({ LeaseChange::Kind::Lost, partition, state.epoch, std::nullopt });
+    ++state.epoch;
+}
+
+std::optional<Holding> LeaseCandidate::holding(PartitionId partition, core::Instant now) const
+{
+    const State &state = this->states[partition];
+    if (!state.isHeld || (this->guards.checksAtUse && now >= state.held.validUntil)) {
+        return std::nullopt;
+    }
+    return state.held;
+}
+
+std::optional<core::HostName> LeaseCandidate::holderHint(PartitionId partition) const
+{
+    const State &state = this->states[partition];
+    if (state.hint && state.hint != this->self.host) {
+        return state.hint;
+    }
+    const auto candidates = this->homes(partition);
+    return candidates.empty() ? std::nullopt : std::optional(candidates.front());
+}
+
+std::vector<core::HostName> LeaseCandidate::homes(PartitionId partition) const
+{
+    std::vector<core::HostName> found;
+    if (!this->roster) {
+        return found;
+    }
+    for (const core::HostName &host : this->roster->ranking(partition)) {
+        const bool isOwn = host == this->self.host && !this->isLeaving;
+        if ((isOwn || this->live.contains(host)) && found.size() < Roster::HomeCount) {
+            found.push_back(host);
+        }
+    }
+    return found;
+}
+
+bool LeaseCandidate::isMajority(PartitionId partition, const std::set<core::HostName> &hosts) const
+{
+    const auto &sets = this->roster->grantorSets(partition);
+    const auto hasMajority = [&hosts](const std::vector<core::HostName> &grantors) {
+        const auto count = std::ranges::count_if(
+            grantors, [&hosts](const auto &grantor) { return hosts.contains(grantor); });
+        return static_cast<std::size_t>(count) > grantors.size() / 2;
+    };
+    if (!this->guards.needsBothRosters) {
+        return hasMajority(sets.front());
+    }
+    return std::ranges::all_of(sets, hasMajority);
+}
+
+bool LeaseCandidate::isBetterRanked(PartitionId partition, const core::HostName &first,
+                                    const core::HostName &second) const
+{
+    const auto &ranking = this->roster->ranking(partition);
+    return std::ranges::find(ranking, first) < std::ranges::find(ranking, second);
+}
+
+std::set<core::HostName> LeaseCandidate::grantorsOf(PartitionId partition) const
+{
+    std::set<core::HostName> grantors;
+    for (const auto &set : this->roster->grantorSets(partition)) {
+        grantors.insert(set.begin(), set.end());
+    }
+    return grantors;
+}
+
+core::Duration LeaseCandidate::jitter()
+{
+    this->random ^= this->random << 13U;
+    this->random ^= this->random >> 7U;
+    this->random ^= this->random << 17U;
+    const auto range = static_cast<std::uint64_t>(this->policy.retryInterval.count());
+    return core::Duration(static_cast<core::Duration::rep>(this->random % range));
+}
+
+LeaseBatch &LeaseCandidate::batchTo(const core::HostName &host)
+{
+    return this->outbox[host];
+}
+
+LeaseOutbox LeaseCandidate::takeOutbox()
+{
+    return std::exchange(this->outbox, {});
+}
+
+std::vector<LeaseChange> LeaseCandidate::takeChanges()
+{
+    return std::exchange(this->changes, {});
+}
+
+} // namespace damaskgate::lease
--- /dev/null
+++ b/src/lease/leasetable.cpp
@@ -0,0 +1,134 @@
+#include "damaskgate/lease/leasetable.h"
+
+#include <utility>
+
+namespace damaskgate::lease {
+
+namespace {
+
+template <typename T>
+void append(std::vector<T> &to, const std::vector<T> &from)
+{
+    to.insert(to.end(), from.begin(), from.end());
+}
+
+void mergeInto(LeaseBatch &target, const LeaseBatch &batch)
+{
+    append(target.requests, batch.requests);
+    append(target.replies, batch.replies);
+    append(target.releases, batch.releases);
+    append(target.asks, batch.asks);
+    append(target.offers, batch.offers);
+}
+
+} // namespace
+
+LeaseTable::LeaseTable(const HolderId &self, core::Instant startedAt, std::uint64_t seed,
+                       const LeasePolicy &policy, const LeaseGuards &guards)
+    : self(self), grantor(startedAt, policy, guards), candidate(self, seed, policy, guards)
+{}
+
+void LeaseTable::applyRoster(const RosterPtr &newRoster)
+{
+    this->rosterId = newRoster->id();
+    this->grantor.applyRoster(newRoster->id());
+    this->candidate.applyRoster(newRoster);
+}
+
+void LeaseTable::setLiveHosts(std::span<const core::HostName> hosts)
+{
+    this->candidate.setLiveHosts(hosts);
+}
+
+void LeaseTable::tick(core::Instant now)
+{
+    this->candidate.tick(now);
+}
+
+void LeaseTable::onBatch(const HolderId &from, const LeaseBatch &batch, core::Instant now)
+{
+    // Releases go first, as a batch may free a partition and ask for it again.
+    for (const LeaseRelease &release : batch.releases) {
+        this->grantor.onRelease(from, release, now);
+    }
+    for (const LeaseRequest &request : batch.requests) {
+        if (request.partition < PartitionCount) {
+            this->answers[from.host].replies.push_back(
+                this->grantor.onRequest(from, batch.roster, request, now));
+        }
+    }
+    for (const LeaseReply &reply : batch.replies) {
+        this->candidate.onReply(from.host, reply, now);
+    }
+    for (const HandoverAsk &ask : batch.asks) {
+        this->candidate.onAsk(from.host, ask, now);
+    }
+    for (const HandoverOffer &offer : batch.offers) {
+        this->candidate.onOffer(offer, now);
+    }
+}
+
+void LeaseTable::noteDemand(PartitionId partition, core::Instant now)
+{
+    this->candidate.noteDemand(partition, now);
+}
+
+void LeaseTable::leave(core::Instant now)
+{
+    this->candidate.leave(now);
+}
+
+void LeaseTable::confirmRelease(PartitionId partition, core::Instant now)
+{
+    this->candidate.confirmRelease(partition, now);
+}
+
+LeaseOutbox LeaseTable::takeOutbox(core::Instant now)
+{
+    LeaseOutbox outbox;
+    const auto collect = [&outbox](LeaseOutbox &&part) {
+        for (const auto &[host, batch] : part) {
+            mergeInto(outbox[host], batch);
+        }
+    };
+    collect(this->candidate.takeOutbox());
+    collect(std::exchange(this->answers, {}));
+    while (const auto own = outbox.extract(this->self.host)) {
+        this->deliverOwn(own.mapped(), now);
+        collect(this->candidate.takeOutbox());
+        collect(std::exchange(this->answers, {}));
+    }
+    for (auto &[host, batch] : outbox) {
+        batch.roster = this->rosterId;
+    }
+    return outbox;
+}
+
+void LeaseTable::deliverOwn(const LeaseBatch &batch, core::Instant now)
+{
+    LeaseBatch addressed = batch;
+    addressed.roster = this->rosterId;
+    this->onBatch(this->self, addressed, now);
+}
+
+std::vector<LeaseChange> LeaseTable::takeChanges()
+{
+    return this->candidate.takeChanges();
+}
+
+std::optional<Holding> LeaseTable::holding(PartitionId partition, core::Instant now) const
+{
+    return this->candidate.holding(partition, now);
+}
+
+std::optional<core::HostName> LeaseTable::holderHint(PartitionId partition) const
+{
+    return this->candidate.holderHint(partition);
+}
+
+std::vector<core::HostName> LeaseTable::homes(PartitionId partition) const
+{
+    return this->candidate.homes(partition);
+}
+
+} // namespace damaskgate::lease
