balance: slots of cold endpoints are granted by the service's owner

Many entry hosts that each guess overload an endpoint that has just started, so requests to it need a quota of its service's owner. The owner counts a quota until the host has told that it keeps to a newer one, or all exchanges begun under it have ended.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -178,7 +178,7 @@
     const bool isAnswer =
         report.outcome == Outcome::Answered || report.outcome == Outcome::ServerError;
     if (isAnswer || report.load) {
-        pool.picker.coldLease().onAnswer(endpoint, incarnationOf(report));
+        pool.picker.coldLease().onAnswer(endpoint, incarnationOf(report), this->clock.now());
     }
 }
 
@@ -214,7 +214,7 @@
     if (!pool) {
         return;
     }
-    pool->picker.coldLease().onAnswer(answer);
+    pool->picker.coldLease().onAnswer(answer, this->clock.now());
     this->serve(*pool);
 }
 
--- a/src/balance/coldlease.cpp
+++ b/src/balance/coldlease.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t EndpointsPerRequest = 8; //!< keeps the datagram below 1,200 bytes
 constexpr std::size_t SentLimit = 64; //!< requests whose answers are still accepted
 constexpr std::uint32_t DoubtfulLimit = 1;
+constexpr std::chrono::seconds ConfirmedTime { 2 }; //!< for which a sign of being warm is good
 
 } // namespace
 
@@ -28,10 +29,14 @@
         return 0;
     }
     const State &state = found->second;
-    if (this->ramp == core::Duration::zero() || state.temperature == Temperature::Warm) {
+    if (this->ramp == core::Duration::zero()) {
         return slots;
     }
-    if (state.temperature == Temperature::Doubtful) {
+    const bool isWarm = state.temperature == Temperature::Warm;
+    if (isWarm && now < state.confirmedAt + ConfirmedTime) {
+        return slots;
+    }
+    if (isWarm || state.temperature == Temperature::Doubtful) {
         return std::min(slots, DoubtfulLimit);
     }
     return now < state.quotaEnd ? std::min(slots, state.quota) : 0;
@@ -44,7 +49,7 @@
 }
 
 void ColdLease::onAnswer(const core::EndpointName &endpoint,
-                         std::optional<std::uint64_t> incarnation)
+                         std::optional<std::uint64_t> incarnation, core::Instant now)
 {
     const auto found = this->states.find(endpoint);
     if (found == this->states.end()) {
@@ -59,6 +64,7 @@
         this->change(state, Temperature::Cold);
         return;
     }
+    state.confirmedAt = now;
     if (state.temperature == Temperature::Doubtful) {
         this->change(state, Temperature::Warm);
     }
@@ -94,9 +100,9 @@
         }
         const Counts count = counts(endpoint);
         const std::uint32_t quota = now < state.quotaEnd ? state.quota : 0;
-        requests.back().endpoints.push_back({ endpoint, state.temperature, state.servedFor,
-                                              state.incarnation, state.appliedSequence, quota,
-                                              count.inFlight, count.wanted });
+        requests.back().endpoints.push_back(
+            { endpoint, state.temperature, state.servedFor, state.incarnation, state.appliedEpoch,
+              state.appliedSequence, quota, count.inFlight, count.wanted });
     }
     while (this->sent.size() > SentLimit) {
         this->sent.pop_front();
@@ -104,7 +110,7 @@
     return requests;
 }
 
-void ColdLease::onAnswer(const SlotAnswer &answer)
+void ColdLease::onAnswer(const SlotAnswer &answer, core::Instant now)
 {
     const auto request = std::ranges::find(this->sent, answer.sequence, &Sent::sequence);
     if (request == this->sent.end() || answer.epoch < this->epoch) {
@@ -112,11 +118,12 @@
     }
     this->epoch = answer.epoch;
     for (const EndpointQuota &quota : answer.endpoints) {
-        this->applyQuota(quota, *request);
+        this->applyQuota(quota, answer.epoch, *request, now);
     }
 }
 
-void ColdLease::applyQuota(const EndpointQuota &quota, const Sent &request)
+void ColdLease::applyQuota(const EndpointQuota &quota, std::uint64_t answerEpoch,
+                           const Sent &request, core::Instant now)
 {
     const auto found = this->states.find(quota.endpoint);
     if (found == this->states.end()) {
@@ -127,11 +134,15 @@
     if (request.sequence <= state.appliedSequence || request.sequence < state.changedAt) {
         return;
     }
+    state.appliedEpoch = answerEpoch;
     state.appliedSequence = request.sequence;
-    state.temperature = quota.temperature;
-    state.servedFor = quota.servedFor;
+    if (quota.temperature != Temperature::Unknown) {
+        state.temperature = quota.temperature;
+        state.servedFor = quota.servedFor;
+    }
     state.quota = quota.quota;
     state.quotaEnd = request.at + GrantTime;
+    state.confirmedAt = now;
 }
 
 Temperature ColdLease::temperature(const core::EndpointName &endpoint) const
--- a/src/balance/coldlease.h
+++ b/src/balance/coldlease.h
@@ -33,7 +33,8 @@
                         core::Instant now) const;
 
     /** An answer of @p endpoint; @p incarnation is set where the endpoint reports it. */
-    void onAnswer(const core::EndpointName &endpoint, std::optional<std::uint64_t> incarnation);
+    void onAnswer(const core::EndpointName &endpoint, std::optional<std::uint64_t> incarnation,
+                  core::Instant now);
 
     /** A connection to @p endpoint broke or could not be made. */
     void onConnectionLost(const core::EndpointName &endpoint);
@@ -54,7 +55,7 @@
                  const std::function<Counts(const core::EndpointName &)> &counts);
 
     /** Applies an answer of the owner; older ones than applied are ignored. */
-    void onAnswer(const SlotAnswer &answer);
+    void onAnswer(const SlotAnswer &answer, core::Instant now);
 
     /** @return the temperature of @p endpoint. */
     Temperature temperature(const core::EndpointName &endpoint) const;
@@ -66,9 +67,11 @@
         core::Duration servedFor {};
         std::uint64_t incarnation = 0;
         std::uint64_t changedAt = 0; //!< sequence from which requests tell the latest change
+        std::uint64_t appliedEpoch = 0;
         std::uint64_t appliedSequence = 0;
         std::uint32_t quota = 0;
         core::Instant quotaEnd;
+        core::Instant confirmedAt; //!< latest sign that a warm endpoint is the one known
     };
 
     struct Sent
@@ -78,7 +81,8 @@
     };
 
     void change(State &state, Temperature temperature);
-    void applyQuota(const EndpointQuota &quota, const Sent &request);
+    void applyQuota(const EndpointQuota &quota, std::uint64_t answerEpoch, const Sent &request,
+                    core::Instant now);
 
     core::Duration ramp {};
     std::uint64_t sequence = 0;
--- /dev/null
+++ b/src/balance/coldledger.cpp
@@ -0,0 +1,316 @@
+#include "damaskgate/balance/coldledger.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace damaskgate::balance {
+
+namespace {
+
+constexpr std::chrono::seconds MinimumExchangeLimit { 1 };
+constexpr std::chrono::seconds DefaultExchangeLimit { 30 };
+constexpr std::chrono::milliseconds TurnTime { 500 }; //!< for which others wait for a quota
+constexpr std::chrono::milliseconds WaitingTime { 300 }; //!< since the last request of a host
+constexpr std::chrono::milliseconds ServingGap { 300 }; //!< longest step of time served
+constexpr std::chrono::seconds DoubtTime { 1 };
+constexpr std::size_t DoubtingHosts = 2; //!< that make an endpoint cold
+
+core::Duration longestExchange(const settings::Settings &settings, const core::ServiceName &service)
+{
+    core::Duration longest {};
+    for (const settings::Route &route : settings.routes | std::views::values) {
+        if (route.service == service) {
+            longest = std::max(longest, route.timeout);
+        }
+    }
+    if (longest == core::Duration::zero()) {
+        return DefaultExchangeLimit;
+    }
+    return std::max<core::Duration>(longest, MinimumExchangeLimit);
+}
+
+} // namespace
+
+ColdLedger::ColdLedger(std::uint64_t epoch, core::Instant ownedSince)
+    : epoch(epoch), ownedSince(ownedSince)
+{}
+
+void ColdLedger::applySettings(const settings::Settings &settings, const settings::Service &service,
+                               core::Instant now)
+{
+    this->slots = service.slots;
+    this->ramp = service.rampTime;
+    this->exchangeLimit = longestExchange(settings, service.name);
+    this->hosts.clear();
+    std::ranges::copy(settings.hosts | std::views::keys,
+                      std::inserter(this->hosts, this->hosts.end()));
+    std::set<core::EndpointName> inService;
+    for (const auto &[name, endpoint] : service.endpoints) {
+        const auto domain = settings.domains.find(endpoint.domain);
+        const bool isDomainOut = domain != settings.domains.end() && !domain->second.isInService;
+        if (!endpoint.isInService || isDomainOut) {
+            continue;
+        }
+        inService.insert(name);
+        const bool isNew = this->states.try_emplace(name).second;
+        if (isNew && this->hasSettings) {
+            this->turnCold(this->states[name], {}, now);
+        }
+    }
+    std::erase_if(this->states,
+                  [&](const auto &entry) { return !inService.contains(entry.first); });
+    this->hasSettings = true;
+}
+
+SlotAnswer ColdLedger::onRequest(const core::HostName &host, std::uint64_t incarnation,
+                                 const SlotRequest &request, core::Instant now)
+{
+    SlotAnswer answer { request.service, this->epoch, request.sequence, {} };
+    const HostKey key { host, incarnation };
+    for (const EndpointUse &use : request.endpoints) {
+        const auto found = this->states.find(use.endpoint);
+        if (found == this->states.end()) {
+            continue;
+        }
+        State &state = found->second;
+        Loan &loan = state.loans[key];
+        if (request.sequence <= loan.lastSequence) {
+            continue;
+        }
+        this->count(loan, use, request.sequence, now);
+        this->learn(state, host, use, now);
+        this->advance(state, now);
+        const std::uint32_t quota = this->decide(state, key, use.wanted, now);
+        this->remember(loan, state.temperature, quota, now);
+        answer.endpoints.push_back({ use.endpoint, state.temperature, state.servedFor, quota });
+    }
+    return answer;
+}
+
+void ColdLedger::count(Loan &loan, const EndpointUse &use, std::uint64_t sequence,
+                       core::Instant now) const
+{
+    loan.lastSequence = sequence;
+    loan.told = std::max(use.inFlight, use.quota);
+    loan.toldEnd = now + GrantTime + GrantDriftMargin + this->exchangeLimit;
+    loan.isHeard = loan.isHeard || use.appliedEpoch == this->epoch;
+    loan.isWarm = use.temperature == Temperature::Warm || use.temperature == Temperature::Doubtful;
+    loan.heardAt = now;
+    if (use.appliedEpoch == this->epoch) {
+        loan.appliedSequence = use.appliedSequence;
+        std::erase_if(loan.grants,
+                      [&use](const Grant &grant) { return grant.sequence <= use.appliedSequence; });
+    }
+    std::erase_if(loan.grants, [now](const Grant &grant) { return grant.end <= now; });
+}
+
+void ColdLedger::learn(State &state, const core::HostName &host, const EndpointUse &use,
+                       core::Instant now) const
+{
+    const bool isNewIncarnation = use.incarnation != 0 && !state.incarnations.empty()
+        && !state.incarnations.contains(use.incarnation);
+    if (use.incarnation != 0) {
+        state.incarnations.insert(use.incarnation);
+    }
+    if (state.temperature == Temperature::Unknown) {
+        this->noteClaim(state, use);
+        this->settle(state, now);
+        return;
+    }
+    if (use.temperature == Temperature::Doubtful) {
+        state.doubts[host] = now;
+    }
+    std::erase_if(state.doubts,
+                  [now](const auto &entry) { return entry.second + DoubtTime <= now; });
+    const bool isDoubted =
+        state.doubts.size() >= DoubtingHosts && state.temperature == Temperature::Warm;
+    if (isNewIncarnation || isDoubted) {
+        this->turnCold(state, {}, now);
+    }
+}
+
+void ColdLedger::noteClaim(State &state, const EndpointUse &use) const
+{
+    const bool isWarm =
+        use.temperature == Temperature::Warm || use.temperature == Temperature::Doubtful;
+    state.hasWarmClaim = state.hasWarmClaim || isWarm;
+    if (use.temperature != Temperature::Cold) {
+        return;
+    }
+    state.claimedServedFor =
+        state.hasColdClaim ? std::min(state.claimedServedFor, use.servedFor) : use.servedFor;
+    state.hasColdClaim = true;
+}
+
+void ColdLedger::settle(State &state, core::Instant now) const
+{
+    if (now < this->ownedSince + GrantTime + GrantDriftMargin) {
+        return;
+    }
+    if (state.hasWarmClaim && !state.hasColdClaim && state.incarnations.size() <= 1) {
+        state.temperature = Temperature::Warm;
+        return;
+    }
+    this->turnCold(state, state.claimedServedFor, now);
+    state.changedAt = this->ownedSince;
+}
+
+void ColdLedger::turnCold(State &state, core::Duration servedFor, core::Instant now) const
+{
+    state.temperature = Temperature::Cold;
+    state.changedAt = now;
+    state.servedFor = servedFor;
+    state.servedUntil = now;
+    state.doubts.clear();
+}
+
+void ColdLedger::advance(State &state, core::Instant now) const
+{
+    if (state.temperature != Temperature::Cold) {
+        return;
+    }
+    const bool isServing = std::ranges::any_of(state.loans | std::views::values,
+                                               [](const Loan &l) { return l.told > 0; });
+    if (isServing) {
+        state.servedFor += std::min<core::Duration>(now - state.servedUntil, ServingGap);
+    }
+    state.servedUntil = now;
+    if (state.servedFor >= this->ramp) {
+        state.temperature = Temperature::Warm;
+    }
+}
+
+std::uint32_t ColdLedger::limit(const State &state) const
+{
+    if (state.temperature == Temperature::Warm || this->ramp == core::Duration::zero()) {
+        return this->slots;
+    }
+    const double served = std::chrono::duration<double>(state.servedFor).count();
+    const double fraction = served / std::chrono::duration<double>(this->ramp).count();
+    const auto grown = static_cast<std::uint32_t>(fraction * this->slots);
+    return std::clamp<std::uint32_t>(grown, 1, this->slots);
+}
+
+std::uint32_t ColdLedger::outstanding(const Loan &loan, core::Instant now)
+{
+    std::uint32_t bound = now < loan.toldEnd ? loan.told : 0;
+    for (const Grant &grant : loan.grants) {
+        bound = std::max(bound, now < grant.end ? grant.quota : 0);
+    }
+    return bound;
+}
+
+bool ColdLedger::haveAllHostsAnswered(const State &state, core::Instant now) const
+{
+    const auto mayBeUsing = [this, now](const Loan &loan) {
+        const bool isTakenAsWarm = loan.isWarm || loan.warmSequence > loan.appliedSequence;
+        return (!loan.isHeard || isTakenAsWarm) && now < loan.toldEnd;
+    };
+    if (std::ranges::any_of(state.loans | std::views::values, mayBeUsing)) {
+        return false;
+    }
+    return std::ranges::all_of(this->hosts, [&state](const core::HostName &host) {
+        const auto first = state.loans.lower_bound({ host, 0 });
+        return first != state.loans.end() && first->first.first == host;
+    });
+}
+
+bool ColdLedger::isGrantingAllowed(const State &state, core::Instant now) const
+{
+    if (state.temperature != Temperature::Cold) {
+        return false;
+    }
+    const core::Instant since = std::max(this->ownedSince, state.changedAt);
+    if (now < since + GrantTime + GrantDriftMargin) {
+        return false;
+    }
+    const core::Instant allEnded = since + GrantTime + GrantDriftMargin + this->exchangeLimit;
+    return now >= allEnded || this->haveAllHostsAnswered(state, now);
+}
+
+std::uint32_t ColdLedger::decide(State &state, const HostKey &host, std::uint32_t wanted,
+                                 core::Instant now) const
+{
+    Loan &own = state.loans.at(host);
+    own.isWaiting = wanted > 0;
+    std::erase_if(state.loans, [&](const auto &entry) {
+        return entry.first != host && now >= entry.second.toldEnd
+            && outstanding(entry.second, now) == 0;
+    });
+    if (!this->isGrantingAllowed(state, now)) {
+        return 0;
+    }
+    std::uint32_t others = 0;
+    for (const auto &[key, loan] : state.loans) {
+        others += key == host ? 0 : outstanding(loan, now);
+    }
+    const std::uint32_t total = this->limit(state);
+    const std::uint32_t room = total > others ? total - others : 0;
+    const std::uint32_t quota = this->fairQuota(state, host, room, wanted, now);
+    if (quota == 0) {
+        own.heldSince = {};
+        return 0;
+    }
+    own.heldSince = own.heldSince == core::Instant {} ? now : own.heldSince;
+    own.lastTurn = now;
+    return quota;
+}
+
+void ColdLedger::remember(Loan &loan, Temperature temperature, std::uint32_t quota,
+                          core::Instant now) const
+{
+    if (temperature == Temperature::Warm) {
+        loan.warmSequence = loan.lastSequence;
+    }
+    if (quota > 0) {
+        loan.grants.push_back(
+            { loan.lastSequence, quota, now + GrantTime + GrantDriftMargin + this->exchangeLimit });
+    }
+}
+
+std::uint32_t ColdLedger::fairQuota(const State &state, const HostKey &host, std::uint32_t room,
+                                    std::uint32_t wanted, core::Instant now) const
+{
+    const Loan &own = state.loans.at(host);
+    std::uint32_t waiting = 1;
+    std::uint32_t earlier = 0;
+    for (const auto &[key, loan] : state.loans) {
+        if (key == host || !loan.isWaiting || loan.heardAt + WaitingTime <= now) {
+            continue;
+        }
+        ++waiting;
+        const bool isWithout = loan.heldSince == core::Instant {};
+        earlier += isWithout && loan.lastTurn < own.lastTurn ? 1 : 0;
+    }
+    const std::uint32_t total = this->limit(state);
+    const std::uint32_t share = std::max<std::uint32_t>(1, total / waiting);
+    const bool isHolding = own.heldSince != core::Instant {};
+    const bool isTurnOver = isHolding && waiting > total && own.heldSince + TurnTime <= now;
+    if (isTurnOver || (!isHolding && earlier >= room)) {
+        return 0;
+    }
+    return std::min({ wanted, room, share });
+}
+
+void ColdLedger::onReadmitted(const core::EndpointName &endpoint, core::Instant now)
+{
+    const auto found = this->states.find(endpoint);
+    if (found != this->states.end()) {
+        this->turnCold(found->second, {}, now);
+    }
+}
+
+Temperature ColdLedger::temperature(const core::EndpointName &endpoint) const
+{
+    const auto found = this->states.find(endpoint);
+    return found == this->states.end() ? Temperature::Unknown : found->second.temperature;
+}
+
+std::uint32_t ColdLedger::limit(const core::EndpointName &endpoint) const
+{
+    const auto found = this->states.find(endpoint);
+    return found == this->states.end() ? 0 : this->limit(found->second);
+}
+
+} // namespace damaskgate::balance
--- a/src/balance/include/damaskgate/balance/balancer.h
+++ b/src/balance/include/damaskgate/balance/balancer.h
@@ -77,8 +77,8 @@
     void refuse(std::uint64_t requestId, core::Reason reason, const char *detail);
     void refuseUnservable(Pool &pool);
     void serve(Pool &pool);
-    static void learnTemperature(Pool &pool, const core::EndpointName &endpoint,
-                                 const ExchangeReport &report);
+    void learnTemperature(Pool &pool, const core::EndpointName &endpoint,
+                          const ExchangeReport &report);
     void grant(Pool &pool, std::uint64_t requestId, const core::EndpointName &endpoint);
 
     const core::IClock &clock;
--- a/src/balance/include/damaskgate/balance/slotmessages.h
+++ b/src/balance/include/damaskgate/balance/slotmessages.h
@@ -23,6 +23,7 @@
     Temperature temperature = Temperature::Unknown;
     core::Duration servedFor {}; //!< time that a cold endpoint has served, as last told
     std::uint64_t incarnation = 0; //!< of the endpoint, from its answers; zero when not known
+    std::uint64_t appliedEpoch = 0; //!< of the owner whose grant is in force
     std::uint64_t appliedSequence = 0; //!< request that the grant in force answered
     std::uint32_t quota = 0; //!< requests that may be in flight under the grant in force
     std::uint32_t inFlight = 0;
@@ -40,7 +41,7 @@
 struct EndpointQuota
 {
     core::EndpointName endpoint;
-    Temperature temperature = Temperature::Cold; //!< Cold or Warm
+    Temperature temperature = Temperature::Cold; //!< Cold, Warm, or Unknown: as known before
     core::Duration servedFor {};
     std::uint32_t quota = 0;
 };
@@ -56,5 +57,6 @@
 
 constexpr std::chrono::milliseconds ReportInterval { 100 };
 constexpr std::chrono::milliseconds GrantTime { 500 };
+constexpr std::chrono::milliseconds GrantDriftMargin { 10 }; //!< of clocks, over one GrantTime
 
 } // namespace damaskgate::balance
