--- a/src/settings/fieldrules.cpp
+++ b/src/settings/fieldrules.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint32_t HighestQueueLimit = 1'000'000;
 
 const std::array DomainRules {
-    FieldRule<FailureDomain> { "region", R"("default")",
+    FieldRule<FailureDomain> { "region", R"("")",
                                [](const FieldValue &value, FailureDomain &domain) {
                                    value.readText(domain.region);
                                } },
