--- /dev/null
+++ b/src/relay/kjthread.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include <kj/async-io.h>
+
+namespace damaskgate::relay {
+
+/** A thread that runs a KJ event loop and the work that other threads hand to it. */
+class KjThread
+{
+public:
+    using Work = std::function<void(kj::AsyncIoContext &)>;
+
+    KjThread();
+    ~KjThread();
+
+    KjThread(const KjThread &) = delete;
+    KjThread &operator=(const KjThread &) = delete;
+
+    /** Runs @p work on the thread; dropped when the thread has been stopped. */
+    void post(Work work);
+
+    /** Runs @p lastWork on the thread, then ends it. Must not be called on the thread itself. */
+    void stop(Work lastWork);
+
+private:
+    using Fulfiller = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
+
+    void run();
+    std::deque<Work> waitForWork(kj::WaitScope &scope);
+    void wake();
+
+    std::mutex mutex;
+    std::deque<Work> queue;
+    kj::Maybe<Fulfiller> wakeUp;
+    bool isStopping = false;
+    std::thread thread;
+};
+
+} // namespace damaskgate::relay
--- a/src/settings/freshnessguard.cpp
+++ b/src/settings/freshnessguard.cpp
@@ -1,10 +1,6 @@
 #include "damaskgate/settings/freshnessguard.h"
 
 #include <algorithm>
-#include <functional>
-#include <iterator>
-#include <utility>
-#include <vector>
 
 namespace damaskgate::settings {
 
@@ -12,35 +8,25 @@
 
 void FreshnessGuard::onPlatformAnswered(core::Instant sentAt)
 {
-    this->platformAnswered = std::max(this->platformAnswered, std::optional(sentAt));
+    this->lastProof = std::max(this->lastProof, std::optional(sentAt));
 }
 
-void FreshnessGuard::setSampledPeers(std::span<const core::HostName> peers)
+void FreshnessGuard::onFleetContact(core::Instant provedAt)
 {
-    std::map<core::HostName, std::optional<core::Instant>> sample;
-    for (const core::HostName &peer : peers) {
-        const auto known = this->peers.find(peer);
-        sample[peer] = known == this->peers.end() ? std::nullopt : known->second;
-    }
-    this->peers = std::move(sample);
-    this->isSampleKnown = true;
+    this->lastProof = std::max(this->lastProof, std::optional(provedAt));
 }
 
-void FreshnessGuard::onPeerHeard(const core::HostName &peer, core::Instant now)
+void FreshnessGuard::setOtherHosts(std::size_t count)
 {
-    const auto known = this->peers.find(peer);
-    if (known != this->peers.end()) {
-        known->second = std::max(known->second, std::optional(now));
-    }
+    this->otherHosts = count;
 }
 
 core::Instant FreshnessGuard::freshUntil() const
 {
-    if (this->isSampleKnown && this->peers.empty()) {
+    if (this->otherHosts == 0U) {
         return core::Instant::max();
     }
-    const auto evidence = std::max(this->platformAnswered, this->lastHeardFromHalf());
-    return evidence ? *evidence + this->limit : core::Instant::min();
+    return this->lastProof ? *this->lastProof + this->limit : core::Instant::min();
 }
 
 bool FreshnessGuard::isFresh(core::Instant now) const
@@ -48,19 +34,4 @@
     return now < this->freshUntil();
 }
 
-std::optional<core::Instant> FreshnessGuard::lastHeardFromHalf() const
-{
-    if (this->peers.empty()) {
-        return std::nullopt;
-    }
-    std::vector<std::optional<core::Instant>> heard;
-    heard.reserve(this->peers.size());
-    std::ranges::transform(this->peers, std::back_inserter(heard),
-                           [](const auto &peer) { return peer.second; });
-    const std::size_t half = (heard.size() + 1) / 2;
-    const auto last = heard.begin() + static_cast<std::ptrdiff_t>(half - 1);
-    std::ranges::nth_element(heard, last, std::greater<> {});
-    return *last;
-}
-
 } // namespace damaskgate::settings
--- a/src/settings/include/damaskgate/settings/freshnessguard.h
+++ b/src/settings/include/damaskgate/settings/freshnessguard.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include <map>
 #include <optional>
-#include <span>
 
-#include "damaskgate/core/names.h"
 #include "damaskgate/core/time.h"
 
 namespace damaskgate::settings {
@@ -13,8 +10,8 @@
 
 /**
  * Decides until when this host may still rely on the keys it knows.
- * A host that hears neither the platform nor at least half of its sampled peers cannot learn that
- * a key was withdrawn.
+ * A host that is in contact with neither the platform nor most of the fleet cannot learn that a key
+ * was withdrawn.
  */
 class FreshnessGuard
 {
@@ -24,16 +21,16 @@
     /** Records an answer of the platform; @p sentAt is when its request was sent. */
     void onPlatformAnswered(core::Instant sentAt);
 
-    /** Replaces the sampled peers; what was heard of those that stay is kept. */
-    void setSampledPeers(std::span<const core::HostName> peers);
+    /** Records contact with most of the fleet, proved by probes sent at @p provedAt or later. */
+    void onFleetContact(core::Instant provedAt);
 
-    /** Records a message from @p peer; hosts outside the sample are ignored. */
-    void onPeerHeard(const core::HostName &peer, core::Instant now);
+    /** Records how many other hosts the settings name. */
+    void setOtherHosts(std::size_t count);
 
     /**
      * @return until when keyed requests may be admitted. Compare with the current time at every
-     *         use: a process that was frozen wakes after this instant. Instant::max() when the
-     *         sample is known to be empty, and the lowest instant before anything was heard.
+     *         use: a process that was frozen wakes after this instant. Instant::max() when there is
+     *         no other host, and Instant::min() before anything was heard.
      */
     core::Instant freshUntil() const;
 
@@ -41,12 +38,9 @@
     bool isFresh(core::Instant now) const;
 
 private:
-    std::optional<core::Instant> lastHeardFromHalf() const;
-
     core::Duration limit;
-    bool isSampleKnown = false;
-    std::optional<core::Instant> platformAnswered;
-    std::map<core::HostName, std::optional<core::Instant>> peers;
+    std::optional<core::Instant> lastProof;
+    std::optional<std::size_t> otherHosts;
 };
 
 } // namespace damaskgate::settings
