daemon: entry host wired from its parts

Control thread: platform reader, membership, leases, freshness. Data thread: HTTP, balancer, look-up. Admission is open until the limiter lands; the relay is not wired yet.

--- /dev/null
+++ b/src/daemon/controlplane.cpp
@@ -0,0 +1,249 @@
+#include "controlplane.h"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <ranges>
+#include <utility>
+
+namespace damaskgate::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds FreshnessLimit { 3000 };
+constexpr std::chrono::milliseconds OutOfServiceGrace { 2500 }; // beyond the look-up's time to live
+
+peer::PeerAddress toPeerAddress(const settings::Host &host)
+{
+    return peer::PeerAddress { host.name, host.address, host.peerPort };
+}
+
+bool isInService(const settings::Settings &settings, const settings::Host &host)
+{
+    const auto domain = settings.domains.find(host.domain);
+    return host.isInService && domain != settings.domains.end() && domain->second.isInService;
+}
+
+platform::PlatformReaderOptions readerOptions(const settings::HostSettings &host,
+                                              std::uint64_t incarnation)
+{
+    platform::PlatformReaderOptions options;
+    options.replicas = host.platform;
+    options.randomSeed = incarnation;
+    return options;
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(const Dependencies &dependencies, const settings::HostSettings &host,
+                           std::uint64_t incarnation)
+    : clock(dependencies.clock), events(dependencies.events), gate(dependencies.gate), host(host),
+      store(dependencies.events),
+      peers(dependencies.context.get_executor(),
+            peer::PeerIdentity { host.name, incarnation, host.fleetSecret }, dependencies.events),
+      members(dependencies.context, dependencies.clock, this->peers, dependencies.events, host.name,
+              incarnation),
+      leasing(lease::HolderId { host.name, incarnation }, dependencies.clock, this->peers,
+              dependencies.events, incarnation),
+      reader(dependencies.context, readerOptions(host, incarnation), this->store,
+             dependencies.events, dependencies.clock),
+      watchDuty(host.name, host.domain), tickTimer(dependencies.context)
+{
+    this->store.addListener(
+        [this](const settings::SettingsPtr &settings) { this->applySettings(settings); });
+    this->reader.setHostListListener(this);
+    this->reader.setPlatformListener(this);
+    this->members.addChangeListener([this] { this->onMembersChanged(); });
+    this->members.setRevisionListener(
+        [this](const core::HostName &teller, const settings::Revision &revision) {
+            this->fetchFrom(teller, revision);
+        });
+}
+
+ControlPlane::~ControlPlane()
+{
+    this->halt();
+}
+
+core::Result<void> ControlPlane::start()
+{
+    const auto port = this->peers.start(this->host.address, this->host.peerPort);
+    if (!port) {
+        return tl::unexpected(port.error());
+    }
+    this->connectSeeds();
+    this->members.start();
+    this->reader.start();
+    this->scheduleTick();
+    return {};
+}
+
+void ControlPlane::halt()
+{
+    this->tickTimer.cancel();
+    this->reader.stop();
+    this->members.stop();
+    this->peers.stop();
+}
+
+void ControlPlane::announceLeaving()
+{
+    this->members.announceLeaving();
+    this->leasing.leave();
+}
+
+void ControlPlane::setLiveHostsListener(LiveHostsListener listener)
+{
+    this->liveHostsListener = std::move(listener);
+}
+
+settings::SettingsStore &ControlPlane::settingsStore()
+{
+    return this->store;
+}
+
+lease::LeaseService &ControlPlane::leases()
+{
+    return this->leasing;
+}
+
+peer::UdpPeerNetwork &ControlPlane::network()
+{
+    return this->peers;
+}
+
+const membership::MembershipService &ControlPlane::membership() const
+{
+    return this->members;
+}
+
+void ControlPlane::onHostList(const std::vector<platform::ListedHost> &hosts)
+{
+    if (hosts == this->listedHosts) {
+        return;
+    }
+    this->listedHosts = hosts;
+    this->events.record({ "host-list-read", { { "hosts", hosts.size() } } });
+    this->onMembersChanged();
+}
+
+void ControlPlane::onPlatformAnswered(core::Instant sentAt)
+{
+    this->platformAnsweredAt = std::max(this->platformAnsweredAt.value_or(sentAt), sentAt);
+    this->updateFreshness();
+}
+
+void ControlPlane::applySettings(const settings::SettingsPtr &settings)
+{
+    std::vector<peer::PeerAddress> addresses;
+    std::ranges::transform(settings->hosts | std::views::values, std::back_inserter(addresses),
+                           toPeerAddress);
+    this->peers.setHosts(addresses);
+    this->members.applySettings(*settings);
+    this->leasing.applySettings(*settings);
+    this->updateService(*settings);
+    this->onMembersChanged();
+}
+
+void ControlPlane::onMembersChanged()
+{
+    const settings::SettingsPtr settings = this->store.current();
+    if (!settings) {
+        return;
+    }
+    this->publishLiveHosts(*settings);
+    this->updatePace(*settings);
+}
+
+void ControlPlane::fetchFrom(const core::HostName & /*teller*/,
+                             const settings::Revision & /*revision*/)
+{}
+
+void ControlPlane::updatePace(const settings::Settings &settings)
+{
+    std::vector<platform::WatchCandidate> live;
+    for (const core::HostName &name : this->members.table().liveHosts()) {
+        const auto found = settings.hosts.find(name);
+        if (found != settings.hosts.end()) {
+            live.push_back(platform::WatchCandidate { name, found->second.domain });
+        }
+    }
+    this->reader.setPace(this->watchDuty.paceFor(live));
+}
+
+void ControlPlane::updateService(const settings::Settings &settings)
+{
+    const auto self = settings.hosts.find(this->host.name);
+    const bool isServing = self != settings.hosts.end() && isInService(settings, self->second);
+    if (isServing) {
+        this->outOfServiceSince.reset();
+        this->gate.setOutOfServiceAt(core::Instant::max());
+        return;
+    }
+    if (!this->outOfServiceSince) {
+        this->outOfServiceSince = this->clock.now();
+        this->gate.setOutOfServiceAt(*this->outOfServiceSince + OutOfServiceGrace);
+        this->events.record({ "host-out-of-service", { { "host", this->host.name.text() } } });
+    }
+}
+
+void ControlPlane::updateFreshness()
+{
+    std::optional<core::Instant> newest = this->members.table().contactSince();
+    if (this->platformAnsweredAt) {
+        newest = std::max(newest.value_or(*this->platformAnsweredAt), *this->platformAnsweredAt);
+    }
+    if (newest && this->store.current()) {
+        this->gate.setFreshUntil(*newest + FreshnessLimit);
+    }
+}
+
+void ControlPlane::publishLiveHosts(const settings::Settings &settings)
+{
+    const auto isListedLeaving = [this](const core::HostName &name) {
+        return std::ranges::any_of(this->listedHosts, [&name](const platform::ListedHost &listed) {
+            return listed.name == name && listed.state == platform::ListedHost::State::Leaving;
+        });
+    };
+    std::vector<settings::Host> serving;
+    std::vector<core::HostName> holders;
+    for (const core::HostName &name : this->members.table().liveHosts()) {
+        const auto found = settings.hosts.find(name);
+        if (found != settings.hosts.end() && isInService(settings, found->second)
+            && !isListedLeaving(name)) {
+            serving.push_back(found->second);
+            holders.push_back(name);
+        }
+    }
+    this->leasing.setLiveHosts(holders);
+    if (this->liveHostsListener) {
+        this->liveHostsListener(std::move(serving));
+    }
+}
+
+void ControlPlane::connectSeeds()
+{
+    std::vector<peer::PeerAddress> addresses;
+    std::vector<core::HostName> names;
+    for (const settings::SeedPeer &seed : this->host.seedPeers) {
+        addresses.push_back({ seed.host, seed.address.address, seed.address.port });
+        names.push_back(seed.host);
+    }
+    this->peers.setHosts(addresses);
+    this->members.applyHosts(names);
+}
+
+void ControlPlane::scheduleTick()
+{
+    this->tickTimer.expires_after(lease::LeaseService::TickInterval);
+    this->tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        this->leasing.tick();
+        this->updateFreshness();
+        this->scheduleTick();
+    });
+}
+
+} // namespace damaskgate::daemon
--- /dev/null
+++ b/src/daemon/controlplane.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "damaskgate/core/error.h"
+#include "damaskgate/core/event.h"
+#include "damaskgate/lease/leaseservice.h"
+#include "damaskgate/membership/membershipservice.h"
+#include "damaskgate/peer/udppeernetwork.h"
+#include "damaskgate/platform/ihostlistlistener.h"
+#include "damaskgate/platform/iplatformlistener.h"
+#include "damaskgate/platform/platformreader.h"
+#include "damaskgate/platform/watchduty.h"
+#include "damaskgate/settings/hostsettings.h"
+#include "damaskgate/settings/settingsstore.h"
+
+#include "servinggate.h"
+
+namespace damaskgate::daemon {
+
+/** Settings, membership and leases of this host, on the control thread. */
+class ControlPlane final : public platform::IHostListListener, public platform::IPlatformListener
+{
+public:
+    struct Dependencies
+    {
+        boost::asio::io_context &context;
+        core::IClock &clock;
+        core::IEventSink &events;
+        ServingGate &gate;
+    };
+
+    using LiveHostsListener = std::function<void(std::vector<settings::Host>)>;
+
+    ControlPlane(const Dependencies &dependencies, const settings::HostSettings &host,
+                 std::uint64_t incarnation);
+    ~ControlPlane() override;
+
+    /** Binds the addresses and starts to follow the platform and the other hosts. */
+    core::Result<void> start();
+
+    /** Ends everything at once. */
+    void halt();
+
+    /** Tells the others that this host is leaving, and gives its leases to them. */
+    void announceLeaving();
+
+    /** Sets who learns which hosts take new work; before start(). */
+    void setLiveHostsListener(LiveHostsListener listener);
+
+    settings::SettingsStore &settingsStore();
+    lease::LeaseService &leases();
+    peer::UdpPeerNetwork &network();
+    const membership::MembershipService &membership() const;
+
+    void onHostList(const std::vector<platform::ListedHost> &hosts) override;
+    void onPlatformAnswered(core::Instant sentAt) override;
+
+private:
+    void applySettings(const settings::SettingsPtr &settings);
+    void onMembersChanged();
+    void fetchFrom(const core::HostName &host, const settings::Revision &revision);
+    void updatePace(const settings::Settings &settings);
+    void updateService(const settings::Settings &settings);
+    void updateFreshness();
+    void publishLiveHosts(const settings::Settings &settings);
+    void connectSeeds();
+    void scheduleTick();
+
+    core::IClock &clock;
+    core::IEventSink &events;
+    ServingGate &gate;
+    settings::HostSettings host;
+    settings::SettingsStore store;
+    peer::UdpPeerNetwork peers;
+    membership::MembershipService members;
+    lease::LeaseService leasing;
+    platform::PlatformReader reader;
+    platform::WatchDuty watchDuty;
+    boost::asio::steady_timer tickTimer;
+    LiveHostsListener liveHostsListener;
+    std::vector<platform::ListedHost> listedHosts;
+    std::optional<core::Instant> platformAnsweredAt;
+    std::optional<core::Instant> outOfServiceSince;
+};
+
+} // namespace damaskgate::daemon
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,251 @@
+#include "daemon.h"
+
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "damaskgate/metrics/operatorserver.h"
+#include "damaskgate/metrics/registry.h"
+#include "damaskgate/peer/incarnation.h"
+#include "damaskgate/supervise/asioscheduler.h"
+#include "damaskgate/supervise/supervisor.h"
+#include "damaskgate/timeline/eventlog.h"
+
+#include "controlplane.h"
+#include "dataplane.h"
+#include "functionpart.h"
+#include "openadmission.h"
+
+namespace damaskgate::daemon {
+
+namespace {
+
+constexpr std::chrono::seconds LeaveMargin { 1 }; // beyond the look-up's time to live
+constexpr std::chrono::minutes DrainLimit { 5 };
+
+} // namespace
+
+class Daemon::Impl
+{
+public:
+    Impl(const settings::HostSettings &host, const CommandLine &commandLine);
+
+    int run();
+
+private:
+    void connectParts();
+    void addParts();
+    void addOperatorPart();
+    void onSignal(int number);
+    void leave();
+    void finish(ExitCode code);
+    nlohmann::json describeSettings() const;
+    nlohmann::json describeMembers() const;
+    nlohmann::json describeParts() const;
+
+    settings::HostSettings host;
+    std::uint64_t incarnation;
+    core::SystemClock clock;
+    boost::asio::io_context context { 1 };
+    timeline::EventLog events;
+    metrics::Registry registry;
+    ServingGate gate;
+    ControlPlane control;
+    OpenAdmission admission;
+    DataPlane data;
+    metrics::OperatorServer operatorServer;
+    supervise::AsioScheduler scheduler;
+    supervise::Supervisor root;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer leaveTimer;
+    bool isLeaving = false;
+    int exitCode = 0;
+};
+
+Daemon::Impl::Impl(const settings::HostSettings &host, const CommandLine &commandLine)
+    : host(host), incarnation(peer::makeIncarnation()),
+      events(timeline::EventLogOptions { host.name, this->incarnation, commandLine.logFile }),
+      gate(this->clock),
+      control({ this->context, this->clock, this->events, this->gate }, host, this->incarnation),
+      data({ this->clock, this->control.settingsStore(), this->events, this->registry, this->gate,
+             this->admission },
+           host, this->incarnation),
+      operatorServer(this->context, this->registry), scheduler(this->context),
+      root({ "root", supervise::Strategy::RestForOne, {} }, this->scheduler, this->clock,
+           this->events),
+      signals(this->context, SIGTERM, SIGINT), leaveTimer(this->context)
+{
+    this->connectParts();
+    this->addParts();
+}
+
+void Daemon::Impl::connectParts()
+{
+    this->control.settingsStore().addListener(
+        [this](const settings::SettingsPtr &settings) { this->data.applySettings(settings); });
+    this->control.setLiveHostsListener(
+        [this](std::vector<settings::Host> hosts) { this->data.applyLiveHosts(std::move(hosts)); });
+    this->operatorServer.addStatus("settings", [this] { return this->describeSettings(); });
+    this->operatorServer.addStatus("members", [this] { return this->describeMembers(); });
+    this->operatorServer.addStatus("parts", [this] { return this->describeParts(); });
+    this->operatorServer.setEvents(
+        [this](std::size_t limit) { return this->events.latest(limit); });
+}
+
+void Daemon::Impl::addParts()
+{
+    this->addOperatorPart();
+    this->root.addChild("control",
+                        std::make_unique<FunctionPart>(FunctionPart::Functions {
+                            [this] { return this->control.start(); },
+                            [this](const std::function<void()> &done) {
+                                this->control.halt();
+                                done();
+                            },
+                            [this] { this->control.halt(); },
+                        }));
+    this->root.addChild("data",
+                        std::make_unique<FunctionPart>(FunctionPart::Functions {
+                            [this] { return this->data.start(); },
+                            [this](const std::function<void()> &done) {
+                                this->data.drain([this, done] {
+                                    boost::asio::post(this->context, [this, done] {
+                                        this->data.halt();
+                                        done();
+                                    });
+                                });
+                            },
+                            [this] { this->data.halt(); },
+                        }),
+                        supervise::ChildOptions { supervise::RestartRule::Permanent, DrainLimit });
+}
+
+void Daemon::Impl::addOperatorPart()
+{
+    this->root.addChild("operators",
+                        std::make_unique<FunctionPart>(FunctionPart::Functions {
+                            [this]() -> core::Result<void> {
+                                const auto port = this->operatorServer.listen(
+                                    this->host.address, this->host.operatorPort);
+                                return port ? core::Result<void> {} : tl::unexpected(port.error());
+                            },
+                            [this](const std::function<void()> &done) {
+                                this->operatorServer.close();
+                                done();
+                            },
+                            [this] { this->operatorServer.close(); },
+                        }));
+}
+
+int Daemon::Impl::run()
+{
+    this->events.record({ "process-started",
+                          { { "version", DAMASKGATE_VERSION },
+                            { "domain", this->host.domain.text() },
+                            { "address", this->host.address },
+                            { "caller_port", this->host.callerPort } } });
+    this->signals.async_wait([this](const boost::system::error_code &error, int number) {
+        if (!error) {
+            this->onSignal(number);
+        }
+    });
+    const auto started = this->root.start([this](supervise::ExitKind, const std::string &) {
+        this->exitCode = supervise::SupervisionExitCode;
+        this->context.stop();
+    });
+    if (!started) {
+        this->events.record({ "start-failed", { { "detail", started.error().detail } } });
+        this->events.flush();
+        return static_cast<int>(ExitCode::Unavailable);
+    }
+    this->context.run();
+    this->root.halt();
+    this->events.record({ "process-stopped", { { "exit_code", this->exitCode } } });
+    this->events.flush();
+    return this->exitCode;
+}
+
+void Daemon::Impl::onSignal(int number)
+{
+    this->events.record({ "signal-received", { { "number", number } } });
+    if (this->isLeaving) {
+        this->finish(ExitCode::StoppedAtOnce);
+        return;
+    }
+    this->isLeaving = true;
+    this->signals.async_wait([this](const boost::system::error_code &error, int again) {
+        if (!error) {
+            this->onSignal(again);
+        }
+    });
+    this->leave();
+}
+
+void Daemon::Impl::leave()
+{
+    this->control.announceLeaving();
+    this->leaveTimer.expires_after(LookupTimeToLive + LeaveMargin);
+    this->leaveTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->events.record({ "drain-started", {} });
+            this->root.stop([this] { this->finish(ExitCode::Ok); });
+        }
+    });
+}
+
+void Daemon::Impl::finish(ExitCode code)
+{
+    this->exitCode = static_cast<int>(code);
+    this->context.stop();
+}
+
+nlohmann::json Daemon::Impl::describeSettings() const
+{
+    const settings::SettingsPtr settings =
+        const_cast<ControlPlane &>(this->control).settingsStore().current();
+    if (!settings) {
+        return nullptr;
+    }
+    return { { "revision", settings->revision.number }, { "hash", settings->revision.hash } };
+}
+
+nlohmann::json Daemon::Impl::describeMembers() const
+{
+    nlohmann::json live = nlohmann::json::array();
+    for (const core::HostName &name : this->control.membership().table().liveHosts()) {
+        live.push_back(name.text());
+    }
+    return { { "live", live } };
+}
+
+nlohmann::json Daemon::Impl::describeParts() const
+{
+    nlohmann::json parts = nlohmann::json::array();
+    for (const supervise::ChildStatus &child : this->root.status()) {
+        parts.push_back({ { "name", child.name },
+                          { "running", child.isRunning },
+                          { "restarts", child.restarts } });
+    }
+    return parts;
+}
+
+Daemon::Daemon(const settings::HostSettings &host, const CommandLine &commandLine)
+    : impl(std::make_unique<Impl>(host, commandLine))
+{}
+
+Daemon::~Daemon() = default;
+
+int Daemon::run()
+{
+    return this->impl->run();
+}
+
+} // namespace damaskgate::daemon
--- /dev/null
+++ b/src/daemon/dataplane.cpp
@@ -0,0 +1,120 @@
+#include "dataplane.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace damaskgate::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod { 10 };
+
+entry::EntryOptions optionsFor(const settings::HostSettings &host, std::uint64_t incarnation)
+{
+    entry::EntryOptions options;
+    options.host = host.name;
+    options.incarnation = incarnation;
+    options.fleetSecret = host.fleetSecret;
+    return options;
+}
+
+} // namespace
+
+DataPlane::DataPlane(const Dependencies &dependencies, const settings::HostSettings &host,
+                     std::uint64_t incarnation)
+    : workGuard(boost::asio::make_work_guard(this->context)), tickTimer(this->context), host(host),
+      balancing(dependencies.clock, incarnation),
+      recorder(dependencies.registry, dependencies.events),
+      server(this->context,
+             entry::EntryDependencies {
+                 dependencies.clock, dependencies.settings, dependencies.admission, this->balancing,
+                 dependencies.events, this->fleetLookup, this->recorder, &dependencies.gate },
+             optionsFor(host, incarnation))
+{}
+
+DataPlane::~DataPlane()
+{
+    this->halt();
+}
+
+core::Result<void> DataPlane::start()
+{
+    const auto port = this->server.listen(this->host.address, this->host.callerPort);
+    if (!port) {
+        return tl::unexpected(port.error());
+    }
+    this->scheduleTick();
+    this->thread = std::thread([this] { this->run(); });
+    return {};
+}
+
+void DataPlane::drain(std::function<void()> done)
+{
+    this->post([this, done = std::move(done)] { this->server.drain(done); });
+}
+
+void DataPlane::halt()
+{
+    if (!this->thread.joinable()) {
+        return;
+    }
+    this->post([this] {
+        this->server.stop();
+        this->context.stop();
+    });
+    this->thread.join();
+}
+
+void DataPlane::applySettings(const settings::SettingsPtr &settings)
+{
+    this->post([this, settings] { this->balancing.applySettings(settings); });
+}
+
+void DataPlane::applyLiveHosts(std::vector<settings::Host> hosts)
+{
+    this->post([this, hosts = std::move(hosts)] { this->fleetLookup.setHosts(hosts); });
+}
+
+void DataPlane::post(std::function<void()> task)
+{
+    boost::asio::post(this->context, std::move(task));
+}
+
+void DataPlane::addTickTask(std::function<void()> task)
+{
+    this->tickTasks.push_back(std::move(task));
+}
+
+balance::Balancer &DataPlane::balancer()
+{
+    return this->balancing;
+}
+
+FleetLookup &DataPlane::lookup()
+{
+    return this->fleetLookup;
+}
+
+void DataPlane::scheduleTick()
+{
+    this->tickTimer.expires_after(TickPeriod);
+    this->tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        this->balancing.tick();
+        for (const auto &task : this->tickTasks) {
+            task();
+        }
+        this->scheduleTick();
+    });
+}
+
+void DataPlane::run()
+{
+    this->context.run();
+}
+
+} // namespace damaskgate::daemon
--- /dev/null
+++ b/src/daemon/requestrecorder.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "damaskgate/core/event.h"
+#include "damaskgate/entry/irequestobserver.h"
+#include "damaskgate/metrics/registry.h"
+
+namespace damaskgate::daemon {
+
+/** Turns finished requests into metrics, and refusals into events. Used on the data thread. */
+class RequestRecorder final : public entry::IRequestObserver
+{
+public:
+    RequestRecorder(metrics::Registry &registry, core::IEventSink &events);
+
+    void onRequestFinished(const entry::RequestRecord &record) override;
+
+private:
+    struct ServiceMetrics
+    {
+        metrics::Counter *answered = nullptr;
+        metrics::Histogram *total = nullptr;
+        metrics::Histogram *queued = nullptr;
+        metrics::Histogram *added = nullptr;
+    };
+
+    ServiceMetrics &metricsOf(const core::ServiceName &service);
+    void recordRefusal(const entry::RequestRecord &record);
+
+    metrics::Registry &registry;
+    core::IEventSink &events;
+    metrics::Counter &cancelled;
+    std::map<core::ServiceName, ServiceMetrics> services;
+};
+
+} // namespace damaskgate::daemon
--- /dev/null
+++ b/src/daemon/tests/fleetlookup_test.cpp
@@ -0,0 +1,61 @@
+#include "fleetlookup.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+using namespace damaskgate;
+
+namespace {
+
+std::vector<settings::Host> makeHosts(int count)
+{
+    std::vector<settings::Host> hosts;
+    for (int index = 0; index < count; ++index) {
+        settings::Host host;
+        host.name = core::HostName("h" + std::to_string(index));
+        hosts.push_back(host);
+    }
+    return hosts;
+}
+
+} // namespace
+
+TEST(FleetLookup_Tests, RankFor_HostLeft_IsNoLongerNamed)
+{
+    // [GIVEN] A look-up that names some of eight hosts
+    daemon::FleetLookup lookup;
+    std::vector<settings::Host> hosts = makeHosts(8);
+    lookup.setHosts(hosts);
+    const core::WorkspaceName workspace("school");
+    const core::HostName first = lookup.rankFor(workspace).front().host;
+
+    // [WHEN] The first of them leaves
+    std::erase_if(hosts, [&first](const settings::Host &host) { return host.name == first; });
+    lookup.setHosts(hosts);
+
+    // [THEN] It is not named any more
+    const auto entries = lookup.rankFor(workspace);
+    EXPECT_EQ(std::ranges::count(entries, first, &entry::LookupEntry::host), 0);
+}
+
+TEST(FleetLookup_Tests, RankFor_HomesKnown_AreNamedFirstAndOnce)
+{
+    // [GIVEN] A workspace whose rate is held by two hosts, one of them gone
+    daemon::FleetLookup lookup;
+    lookup.setHosts(makeHosts(8));
+    lookup.setHomeFinder([](const core::WorkspaceName &) {
+        return std::vector { core::HostName("h5"), core::HostName("gone"), core::HostName("h2") };
+    });
+
+    // [WHEN] Callers ask
+    const auto entries = lookup.rankFor(core::WorkspaceName("school"));
+
+    // [THEN] The live homes come first, and no host is named twice
+    ASSERT_EQ(entries.size(), 4U);
+    EXPECT_EQ(entries[0].host, core::HostName("h5"));
+    EXPECT_EQ(entries[1].host, core::HostName("h2"));
+    EXPECT_EQ(std::ranges::count(entries, core::HostName("h2"), &entry::LookupEntry::host), 1);
+}
--- a/src/membership/include/damaskgate/membership/membershipservice.h
+++ b/src/membership/include/damaskgate/membership/membershipservice.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
+#include <span>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -35,6 +35,9 @@
     /** Stops to probe; messages that arrive are ignored. */
     void stop();
 
+    /** Takes @p hosts as the fleet, before any settings are known. */
+    void applyHosts(std::span<const core::HostName> hosts);
+
     /** Takes the hosts and the revision of @p settings. */
     void applySettings(const settings::Settings &settings);
 
--- a/src/membership/membershipservice.cpp
+++ b/src/membership/membershipservice.cpp
@@ -36,6 +36,11 @@
     this->timer.cancel();
 }
 
+void MembershipService::applyHosts(std::span<const core::HostName> hosts)
+{
+    this->members.applyRoster(hosts);
+}
+
 void MembershipService::applySettings(const settings::Settings &settings)
 {
     std::vector<core::HostName> hosts;
