--- /dev/null
+++ b/tests/standins/upstream/upstreamsession.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace damaskgate::standins {
+
+class UpstreamEndpoint;
+
+/**
+ * Serves the requests of one connection to an endpoint.
+ *
+ * Paths: `/echo` streams the request's body back, `/bytes/N` and `/chunked/N` answer with N bytes,
+ * `/close/N` does so without a length, `/early` answers before the body was read, `/health`,
+ * `/_faults` and `/_stats`; anything else answers with a short text.
+ */
+class UpstreamSession : public std::enable_shared_from_this<UpstreamSession>
+{
+public:
+    UpstreamSession(UpstreamEndpoint &endpoint,
+                    std::shared_ptr<boost::asio::ip::tcp::socket> connection);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+    using Step = boost::asio::awaitable<bool> (UpstreamSession::*)();
+
+    struct Resource
+    {
+        std::string_view prefix;
+        Step serve;
+    };
+    static const std::initializer_list<Resource> Resources;
+
+    boost::asio::awaitable<bool> serveNext();
+    boost::asio::awaitable<bool> serveHealth();
+    boost::asio::awaitable<bool> serveFaults();
+    boost::asio::awaitable<bool> serveStats();
+    boost::asio::awaitable<bool> serveEarly();
+    boost::asio::awaitable<bool> serveEcho();
+    boost::asio::awaitable<bool> serveWork();
+    boost::asio::awaitable<bool> answerWork();
+    boost::asio::awaitable<bool> answerBytes();
+    boost::asio::awaitable<bool> pause(std::chrono::milliseconds time);
+    boost::asio::awaitable<std::optional<std::string>> readPart();
+    boost::asio::awaitable<bool> readBody(std::string *kept);
+    boost::asio::awaitable<bool> send(std::string_view text);
+    boost::asio::awaitable<bool> answer(int status, std::string_view body,
+                                        std::string_view fields = {});
+    boost::asio::awaitable<bool> hang();
+    std::string makeHead(int status, std::string_view framing) const;
+    void watch();
+    bool carriesKey() const;
+    std::string_view path() const;
+    std::string_view field(const char *name) const;
+
+    UpstreamEndpoint &endpoint;
+    std::shared_ptr<boost::asio::ip::tcp::socket> connection;
+    boost::asio::ip::tcp::socket &socket; //!< of connection
+    boost::asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+    std::optional<Parser> parser;
+    bool isGone = false; //!< the other side closed the connection
+};
+
+} // namespace damaskgate::standins
