--- a/src/limits/token.capnp
+++ b/src/limits/token.capnp
@@ -12,8 +12,6 @@
     take @0 :TakeRequest;
     taken @1 :TakeReply;
     handover @2 :Handover;
-    loanRequest @3 :LoanRequest;
-    loan @4 :Loan;
   }
 }
 
@@ -37,16 +35,3 @@
   workspace @2 :Text;
   tokens @3 :Float64;
 }
-
-struct LoanRequest {
-  sequence @0 :UInt64;
-  workspace @1 :Text;
-}
-
-struct Loan {
-  sequence @0 :UInt64;
-  incarnation @1 :UInt64;
-  ratePerSecond @2 :Float64;
-  burst @3 :Float64;
-  workspace @4 :Text;
-}
--- a/src/limits/token.capnp.h
+++ b/src/limits/token.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                                             \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -21,1503 +21,1183 @@
 CAPNP_DECLARE_SCHEMA(bb1b33d7bd8b23ba);
 CAPNP_DECLARE_SCHEMA(f837713dc989878c);
 CAPNP_DECLARE_SCHEMA(b53890968702b509);
-CAPNP_DECLARE_SCHEMA(aaf44d780bc4e6b5);
-CAPNP_DECLARE_SCHEMA(95efd69635e25ccc);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace damaskgate {
 namespace limits {
 namespace wire {
 
-struct Batch {
-  Batch() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3f8081ac2d68ce0, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Message {
-  Message() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  enum Which: uint16_t {
-    TAKE,
-    TAKEN,
-    HANDOVER,
-    LOAN_REQUEST,
-    LOAN,
-  };
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8caa690755de035, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct TakeRequest {
-  TakeRequest() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bb1b33d7bd8b23ba, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct TakeReply {
-  TakeReply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f837713dc989878c, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
+struct Batch
+{
+    Batch() = delete;
 
-struct Handover {
-  Handover() = delete;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b53890968702b509, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d3f8081ac2d68ce0, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct LoanRequest {
-  LoanRequest() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aaf44d780bc4e6b5, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+struct Message
+{
+    Message() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    enum Which : uint16_t {
+        TAKE,
+        TAKEN,
+        HANDOVER,
+    };
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b8caa690755de035, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Loan {
-  Loan() = delete;
+struct TakeRequest
+{
+    TakeRequest() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(95efd69635e25ccc, 4, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bb1b33d7bd8b23ba, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-// =======================================================================================
-
-class Batch::Reader {
-public:
-  typedef Batch Reads;
+struct TakeReply
+{
+    TakeReply() = delete;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    class Reader;
+    class Builder;
+    class Pipeline;
 
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(f837713dc989878c, 3, 1)
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMessages() const;
-  inline  ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Reader getMessages() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-class Batch::Builder {
-public:
-  typedef Batch Builds;
+struct Handover
+{
+    Handover() = delete;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b53890968702b509, 2, 1)
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMessages();
-  inline  ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Builder getMessages();
-  inline void setMessages( ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Builder initMessages(unsigned int size);
-  inline void adoptMessages(::capnp::Orphan< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>> disownMessages();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-#if !CAPNP_LITE
-class Batch::Pipeline {
-public:
-  typedef Batch Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+// =======================================================================================
 
-class Message::Reader {
+class Batch::Reader
+{
 public:
-  typedef Message Reads;
+    typedef Batch Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline Which which() const;
-  inline bool isTake() const;
-  inline bool hasTake() const;
-  inline  ::damaskgate::limits::wire::TakeRequest::Reader getTake() const;
-
-  inline bool isTaken() const;
-  inline bool hasTaken() const;
-  inline  ::damaskgate::limits::wire::TakeReply::Reader getTaken() const;
-
-  inline bool isHandover() const;
-  inline bool hasHandover() const;
-  inline  ::damaskgate::limits::wire::Handover::Reader getHandover() const;
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool isLoanRequest() const;
-  inline bool hasLoanRequest() const;
-  inline  ::damaskgate::limits::wire::LoanRequest::Reader getLoanRequest() const;
-
-  inline bool isLoan() const;
-  inline bool hasLoan() const;
-  inline  ::damaskgate::limits::wire::Loan::Reader getLoan() const;
+    inline bool hasMessages() const;
+    inline ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Reader
+    getMessages() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Message::Builder {
+class Batch::Builder
+{
 public:
-  typedef Message Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Batch Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline bool isTake();
-  inline bool hasTake();
-  inline  ::damaskgate::limits::wire::TakeRequest::Builder getTake();
-  inline void setTake( ::damaskgate::limits::wire::TakeRequest::Reader value);
-  inline  ::damaskgate::limits::wire::TakeRequest::Builder initTake();
-  inline void adoptTake(::capnp::Orphan< ::damaskgate::limits::wire::TakeRequest>&& value);
-  inline ::capnp::Orphan< ::damaskgate::limits::wire::TakeRequest> disownTake();
-
-  inline bool isTaken();
-  inline bool hasTaken();
-  inline  ::damaskgate::limits::wire::TakeReply::Builder getTaken();
-  inline void setTaken( ::damaskgate::limits::wire::TakeReply::Reader value);
-  inline  ::damaskgate::limits::wire::TakeReply::Builder initTaken();
-  inline void adoptTaken(::capnp::Orphan< ::damaskgate::limits::wire::TakeReply>&& value);
-  inline ::capnp::Orphan< ::damaskgate::limits::wire::TakeReply> disownTaken();
-
-  inline bool isHandover();
-  inline bool hasHandover();
-  inline  ::damaskgate::limits::wire::Handover::Builder getHandover();
-  inline void setHandover( ::damaskgate::limits::wire::Handover::Reader value);
-  inline  ::damaskgate::limits::wire::Handover::Builder initHandover();
-  inline void adoptHandover(::capnp::Orphan< ::damaskgate::limits::wire::Handover>&& value);
-  inline ::capnp::Orphan< ::damaskgate::limits::wire::Handover> disownHandover();
-
-  inline bool isLoanRequest();
-  inline bool hasLoanRequest();
-  inline  ::damaskgate::limits::wire::LoanRequest::Builder getLoanRequest();
-  inline void setLoanRequest( ::damaskgate::limits::wire::LoanRequest::Reader value);
-  inline  ::damaskgate::limits::wire::LoanRequest::Builder initLoanRequest();
-  inline void adoptLoanRequest(::capnp::Orphan< ::damaskgate::limits::wire::LoanRequest>&& value);
-  inline ::capnp::Orphan< ::damaskgate::limits::wire::LoanRequest> disownLoanRequest();
-
-  inline bool isLoan();
-  inline bool hasLoan();
-  inline  ::damaskgate::limits::wire::Loan::Builder getLoan();
-  inline void setLoan( ::damaskgate::limits::wire::Loan::Reader value);
-  inline  ::damaskgate::limits::wire::Loan::Builder initLoan();
-  inline void adoptLoan(::capnp::Orphan< ::damaskgate::limits::wire::Loan>&& value);
-  inline ::capnp::Orphan< ::damaskgate::limits::wire::Loan> disownLoan();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasMessages();
+    inline ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Builder
+    getMessages();
+    inline void setMessages(
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Builder
+    initMessages(unsigned int size);
+    inline void adoptMessages(
+        ::capnp::Orphan<::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>
+            &&value);
+    inline ::capnp::Orphan<
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>
+    disownMessages();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Message::Pipeline {
+class Batch::Pipeline
+{
 public:
-  typedef Message Pipelines;
+    typedef Batch Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class TakeRequest::Reader {
+class Message::Reader
+{
 public:
-  typedef TakeRequest Reads;
+    typedef Message Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+    inline Which which() const;
+    inline bool isTake() const;
+    inline bool hasTake() const;
+    inline ::damaskgate::limits::wire::TakeRequest::Reader getTake() const;
 
-  inline  ::uint64_t getUseWithinNanoseconds() const;
+    inline bool isTaken() const;
+    inline bool hasTaken() const;
+    inline ::damaskgate::limits::wire::TakeReply::Reader getTaken() const;
 
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
+    inline bool isHandover() const;
+    inline bool hasHandover() const;
+    inline ::damaskgate::limits::wire::Handover::Reader getHandover() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class TakeRequest::Builder {
+class Message::Builder
+{
 public:
-  typedef TakeRequest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Message Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
-
-  inline  ::uint64_t getUseWithinNanoseconds();
-  inline void setUseWithinNanoseconds( ::uint64_t value);
-
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline Which which();
+    inline bool isTake();
+    inline bool hasTake();
+    inline ::damaskgate::limits::wire::TakeRequest::Builder getTake();
+    inline void setTake(::damaskgate::limits::wire::TakeRequest::Reader value);
+    inline ::damaskgate::limits::wire::TakeRequest::Builder initTake();
+    inline void adoptTake(::capnp::Orphan<::damaskgate::limits::wire::TakeRequest> &&value);
+    inline ::capnp::Orphan<::damaskgate::limits::wire::TakeRequest> disownTake();
+
+    inline bool isTaken();
+    inline bool hasTaken();
+    inline ::damaskgate::limits::wire::TakeReply::Builder getTaken();
+    inline void setTaken(::damaskgate::limits::wire::TakeReply::Reader value);
+    inline ::damaskgate::limits::wire::TakeReply::Builder initTaken();
+    inline void adoptTaken(::capnp::Orphan<::damaskgate::limits::wire::TakeReply> &&value);
+    inline ::capnp::Orphan<::damaskgate::limits::wire::TakeReply> disownTaken();
+
+    inline bool isHandover();
+    inline bool hasHandover();
+    inline ::damaskgate::limits::wire::Handover::Builder getHandover();
+    inline void setHandover(::damaskgate::limits::wire::Handover::Reader value);
+    inline ::damaskgate::limits::wire::Handover::Builder initHandover();
+    inline void adoptHandover(::capnp::Orphan<::damaskgate::limits::wire::Handover> &&value);
+    inline ::capnp::Orphan<::damaskgate::limits::wire::Handover> disownHandover();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class TakeRequest::Pipeline {
+class Message::Pipeline
+{
 public:
-  typedef TakeRequest Pipelines;
+    typedef Message Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class TakeReply::Reader {
+class TakeRequest::Reader
+{
 public:
-  typedef TakeReply Reads;
+    typedef TakeRequest Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getId() const;
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
+    inline ::uint64_t getId() const;
 
-  inline  ::uint16_t getOutcome() const;
+    inline ::uint64_t getUseWithinNanoseconds() const;
 
-  inline  ::uint32_t getRetryAfterMilliseconds() const;
-
-  inline bool hasHolder() const;
-  inline  ::capnp::Text::Reader getHolder() const;
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class TakeReply::Builder {
+class TakeRequest::Builder
+{
 public:
-  typedef TakeReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef TakeRequest Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+    inline ::uint64_t getId();
+    inline void setId(::uint64_t value);
 
-  inline  ::uint16_t getOutcome();
-  inline void setOutcome( ::uint16_t value);
+    inline ::uint64_t getUseWithinNanoseconds();
+    inline void setUseWithinNanoseconds(::uint64_t value);
 
-  inline  ::uint32_t getRetryAfterMilliseconds();
-  inline void setRetryAfterMilliseconds( ::uint32_t value);
-
-  inline bool hasHolder();
-  inline  ::capnp::Text::Builder getHolder();
-  inline void setHolder( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHolder(unsigned int size);
-  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class TakeReply::Pipeline {
+class TakeRequest::Pipeline
+{
 public:
-  typedef TakeReply Pipelines;
+    typedef TakeRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Handover::Reader {
+class TakeReply::Reader
+{
 public:
-  typedef Handover Reads;
+    typedef TakeReply Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getPartition() const;
-
-  inline  ::uint32_t getEpoch() const;
-
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
-
-  inline double getTokens() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Handover::Builder {
-public:
-  typedef Handover Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::uint64_t getId() const;
 
-  inline  ::uint32_t getPartition();
-  inline void setPartition( ::uint32_t value);
+    inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint32_t getEpoch();
-  inline void setEpoch( ::uint32_t value);
+    inline ::uint16_t getOutcome() const;
 
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+    inline ::uint32_t getRetryAfterMilliseconds() const;
 
-  inline double getTokens();
-  inline void setTokens(double value);
+    inline bool hasHolder() const;
+    inline ::capnp::Text::Reader getHolder() const;
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-#if !CAPNP_LITE
-class Handover::Pipeline {
+class TakeReply::Builder
+{
 public:
-  typedef Handover Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class LoanRequest::Reader {
-public:
-  typedef LoanRequest Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
+    typedef TakeReply Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getSequence() const;
-
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-class LoanRequest::Builder {
-public:
-  typedef LoanRequest Builds;
+    inline ::uint64_t getId();
+    inline void setId(::uint64_t value);
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+    inline ::uint64_t getIncarnation();
+    inline void setIncarnation(::uint64_t value);
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::uint16_t getOutcome();
+    inline void setOutcome(::uint16_t value);
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+    inline ::uint32_t getRetryAfterMilliseconds();
+    inline void setRetryAfterMilliseconds(::uint32_t value);
 
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+    inline bool hasHolder();
+    inline ::capnp::Text::Builder getHolder();
+    inline void setHolder(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initHolder(unsigned int size);
+    inline void adoptHolder(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownHolder();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class LoanRequest::Pipeline {
+class TakeReply::Pipeline
+{
 public:
-  typedef LoanRequest Pipelines;
+    typedef TakeReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Loan::Reader {
+class Handover::Reader
+{
 public:
-  typedef Loan Reads;
+    typedef Handover Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getSequence() const;
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
+    inline ::uint32_t getPartition() const;
 
-  inline double getRatePerSecond() const;
+    inline ::uint32_t getEpoch() const;
 
-  inline double getBurst() const;
+    inline bool hasWorkspace() const;
+    inline ::capnp::Text::Reader getWorkspace() const;
 
-  inline bool hasWorkspace() const;
-  inline  ::capnp::Text::Reader getWorkspace() const;
+    inline double getTokens() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Loan::Builder {
+class Handover::Builder
+{
 public:
-  typedef Loan Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Handover Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+    inline ::uint32_t getPartition();
+    inline void setPartition(::uint32_t value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+    inline ::uint32_t getEpoch();
+    inline void setEpoch(::uint32_t value);
 
-  inline double getRatePerSecond();
-  inline void setRatePerSecond(double value);
+    inline bool hasWorkspace();
+    inline ::capnp::Text::Builder getWorkspace();
+    inline void setWorkspace(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initWorkspace(unsigned int size);
+    inline void adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownWorkspace();
 
-  inline double getBurst();
-  inline void setBurst(double value);
-
-  inline bool hasWorkspace();
-  inline  ::capnp::Text::Builder getWorkspace();
-  inline void setWorkspace( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
-  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+    inline double getTokens();
+    inline void setTokens(double value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Loan::Pipeline {
+class Handover::Pipeline
+{
 public:
-  typedef Loan Pipelines;
+    typedef Handover Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless) : _typeless(kj::mv(typeless))
+    {}
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool Batch::Reader::hasMessages() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Batch::Builder::hasMessages() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getMessages() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getMessages() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Batch::Builder::setMessages( ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initMessages(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline bool Batch::Reader::hasMessages() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Batch::Builder::hasMessages()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Reader
+Batch::Reader::getMessages() const
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>::
+        get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::getMessages()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>::
+        get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Batch::Builder::setMessages(
+    ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>::
+        set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>::Builder
+Batch::Builder::initMessages(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>::
+        init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Batch::Builder::adoptMessages(
-    ::capnp::Orphan< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>> Batch::Builder::disownMessages() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::limits::wire::Message,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::damaskgate::limits::wire::Message::Which Message::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::damaskgate::limits::wire::Message::Which Message::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Message::Reader::isTake() const {
-  return which() == Message::TAKE;
-}
-inline bool Message::Builder::isTake() {
-  return which() == Message::TAKE;
-}
-inline bool Message::Reader::hasTake() const {
-  if (which() != Message::TAKE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasTake() {
-  if (which() != Message::TAKE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::damaskgate::limits::wire::TakeRequest::Reader Message::Reader::getTake() const {
-  KJ_IREQUIRE((which() == Message::TAKE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::damaskgate::limits::wire::TakeRequest::Builder Message::Builder::getTake() {
-  KJ_IREQUIRE((which() == Message::TAKE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setTake( ::damaskgate::limits::wire::TakeRequest::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKE);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::damaskgate::limits::wire::TakeRequest::Builder Message::Builder::initTake() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKE);
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptTake(
-    ::capnp::Orphan< ::damaskgate::limits::wire::TakeRequest>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKE);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::damaskgate::limits::wire::TakeRequest> Message::Builder::disownTake() {
-  KJ_IREQUIRE((which() == Message::TAKE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Message::Reader::isTaken() const {
-  return which() == Message::TAKEN;
-}
-inline bool Message::Builder::isTaken() {
-  return which() == Message::TAKEN;
-}
-inline bool Message::Reader::hasTaken() const {
-  if (which() != Message::TAKEN) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasTaken() {
-  if (which() != Message::TAKEN) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::damaskgate::limits::wire::TakeReply::Reader Message::Reader::getTaken() const {
-  KJ_IREQUIRE((which() == Message::TAKEN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::damaskgate::limits::wire::TakeReply::Builder Message::Builder::getTaken() {
-  KJ_IREQUIRE((which() == Message::TAKEN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setTaken( ::damaskgate::limits::wire::TakeReply::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKEN);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::damaskgate::limits::wire::TakeReply::Builder Message::Builder::initTaken() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKEN);
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptTaken(
-    ::capnp::Orphan< ::damaskgate::limits::wire::TakeReply>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKEN);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::damaskgate::limits::wire::TakeReply> Message::Builder::disownTaken() {
-  KJ_IREQUIRE((which() == Message::TAKEN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::TakeReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Message::Reader::isHandover() const {
-  return which() == Message::HANDOVER;
-}
-inline bool Message::Builder::isHandover() {
-  return which() == Message::HANDOVER;
-}
-inline bool Message::Reader::hasHandover() const {
-  if (which() != Message::HANDOVER) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasHandover() {
-  if (which() != Message::HANDOVER) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::damaskgate::limits::wire::Handover::Reader Message::Reader::getHandover() const {
-  KJ_IREQUIRE((which() == Message::HANDOVER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Handover>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::damaskgate::limits::wire::Handover::Builder Message::Builder::getHandover() {
-  KJ_IREQUIRE((which() == Message::HANDOVER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Handover>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setHandover( ::damaskgate::limits::wire::Handover::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HANDOVER);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Handover>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::damaskgate::limits::wire::Handover::Builder Message::Builder::initHandover() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HANDOVER);
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Handover>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptHandover(
-    ::capnp::Orphan< ::damaskgate::limits::wire::Handover>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HANDOVER);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Handover>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::damaskgate::limits::wire::Handover> Message::Builder::disownHandover() {
-  KJ_IREQUIRE((which() == Message::HANDOVER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Handover>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Message::Reader::isLoanRequest() const {
-  return which() == Message::LOAN_REQUEST;
-}
-inline bool Message::Builder::isLoanRequest() {
-  return which() == Message::LOAN_REQUEST;
-}
-inline bool Message::Reader::hasLoanRequest() const {
-  if (which() != Message::LOAN_REQUEST) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasLoanRequest() {
-  if (which() != Message::LOAN_REQUEST) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::damaskgate::limits::wire::LoanRequest::Reader Message::Reader::getLoanRequest() const {
-  KJ_IREQUIRE((which() == Message::LOAN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::LoanRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::damaskgate::limits::wire::LoanRequest::Builder Message::Builder::getLoanRequest() {
-  KJ_IREQUIRE((which() == Message::LOAN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::LoanRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setLoanRequest( ::damaskgate::limits::wire::LoanRequest::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LOAN_REQUEST);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::LoanRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::damaskgate::limits::wire::LoanRequest::Builder Message::Builder::initLoanRequest() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LOAN_REQUEST);
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::LoanRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptLoanRequest(
-    ::capnp::Orphan< ::damaskgate::limits::wire::LoanRequest>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LOAN_REQUEST);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::LoanRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::damaskgate::limits::wire::LoanRequest> Message::Builder::disownLoanRequest() {
-  KJ_IREQUIRE((which() == Message::LOAN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::LoanRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Message::Reader::isLoan() const {
-  return which() == Message::LOAN;
-}
-inline bool Message::Builder::isLoan() {
-  return which() == Message::LOAN;
-}
-inline bool Message::Reader::hasLoan() const {
-  if (which() != Message::LOAN) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasLoan() {
-  if (which() != Message::LOAN) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::damaskgate::limits::wire::Loan::Reader Message::Reader::getLoan() const {
-  KJ_IREQUIRE((which() == Message::LOAN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Loan>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::damaskgate::limits::wire::Loan::Builder Message::Builder::getLoan() {
-  KJ_IREQUIRE((which() == Message::LOAN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Loan>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setLoan( ::damaskgate::limits::wire::Loan::Reader value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LOAN);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Loan>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::damaskgate::limits::wire::Loan::Builder Message::Builder::initLoan() {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LOAN);
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Loan>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptLoan(
-    ::capnp::Orphan< ::damaskgate::limits::wire::Loan>&& value) {
-  _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LOAN);
-  ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Loan>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::damaskgate::limits::wire::Loan> Message::Builder::disownLoan() {
-  KJ_IREQUIRE((which() == Message::LOAN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::damaskgate::limits::wire::Loan>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t TakeRequest::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t TakeRequest::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+    ::capnp::Orphan<::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>
+        &&value)
+{
+    ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>::
+        adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>
+Batch::Builder::disownMessages()
+{
+    return ::capnp::_::PointerHelpers<
+        ::capnp::List<::damaskgate::limits::wire::Message, ::capnp::Kind::STRUCT>>::
+        disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::damaskgate::limits::wire::Message::Which Message::Reader::which() const
+{
+    return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline ::damaskgate::limits::wire::Message::Which Message::Builder::which()
+{
+    return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Message::Reader::isTake() const
+{
+    return which() == Message::TAKE;
+}
+inline bool Message::Builder::isTake()
+{
+    return which() == Message::TAKE;
+}
+inline bool Message::Reader::hasTake() const
+{
+    if (which() != Message::TAKE)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasTake()
+{
+    if (which() != Message::TAKE)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::damaskgate::limits::wire::TakeRequest::Reader Message::Reader::getTake() const
+{
+    KJ_IREQUIRE((which() == Message::TAKE), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeRequest>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::damaskgate::limits::wire::TakeRequest::Builder Message::Builder::getTake()
+{
+    KJ_IREQUIRE((which() == Message::TAKE), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeRequest>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setTake(::damaskgate::limits::wire::TakeRequest::Reader value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKE);
+    ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeRequest>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::damaskgate::limits::wire::TakeRequest::Builder Message::Builder::initTake()
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKE);
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeRequest>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Message::Builder::adoptTake(::capnp::Orphan<::damaskgate::limits::wire::TakeRequest> &&value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TAKE);
+    ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeRequest>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::damaskgate::limits::wire::TakeRequest> Message::Builder::disownTake()
+{
+    KJ_IREQUIRE((which() == Message::TAKE), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeRequest>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isTaken() const
+{
+    return which() == Message::TAKEN;
+}
+inline bool Message::Builder::isTaken()
+{
+    return which() == Message::TAKEN;
+}
+inline bool Message::Reader::hasTaken() const
+{
+    if (which() != Message::TAKEN)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasTaken()
+{
+    if (which() != Message::TAKEN)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::damaskgate::limits::wire::TakeReply::Reader Message::Reader::getTaken() const
+{
+    KJ_IREQUIRE((which() == Message::TAKEN), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeReply>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::damaskgate::limits::wire::TakeReply::Builder Message::Builder::getTaken()
+{
+    KJ_IREQUIRE((which() == Message::TAKEN), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeReply>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setTaken(::damaskgate::limits::wire::TakeReply::Reader value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Message::TAKEN);
+    ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeReply>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::damaskgate::limits::wire::TakeReply::Builder Message::Builder::initTaken()
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Message::TAKEN);
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeReply>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Message::Builder::adoptTaken(::capnp::Orphan<::damaskgate::limits::wire::TakeReply> &&value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Message::TAKEN);
+    ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeReply>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::damaskgate::limits::wire::TakeReply> Message::Builder::disownTaken()
+{
+    KJ_IREQUIRE((which() == Message::TAKEN), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::TakeReply>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isHandover() const
+{
+    return which() == Message::HANDOVER;
+}
+inline bool Message::Builder::isHandover()
+{
+    return which() == Message::HANDOVER;
+}
+inline bool Message::Reader::hasHandover() const
+{
+    if (which() != Message::HANDOVER)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasHandover()
+{
+    if (which() != Message::HANDOVER)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::damaskgate::limits::wire::Handover::Reader Message::Reader::getHandover() const
+{
+    KJ_IREQUIRE((which() == Message::HANDOVER),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::Handover>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::damaskgate::limits::wire::Handover::Builder Message::Builder::getHandover()
+{
+    KJ_IREQUIRE((which() == Message::HANDOVER),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::Handover>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setHandover(::damaskgate::limits::wire::Handover::Reader value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Message::HANDOVER);
+    ::capnp::_::PointerHelpers<::damaskgate::limits::wire::Handover>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::damaskgate::limits::wire::Handover::Builder Message::Builder::initHandover()
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Message::HANDOVER);
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::Handover>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Message::Builder::adoptHandover(::capnp::Orphan<::damaskgate::limits::wire::Handover> &&value)
+{
+    _builder.setDataField<Message::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Message::HANDOVER);
+    ::capnp::_::PointerHelpers<::damaskgate::limits::wire::Handover>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::damaskgate::limits::wire::Handover> Message::Builder::disownHandover()
+{
+    KJ_IREQUIRE((which() == Message::HANDOVER),
+                "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::damaskgate::limits::wire::Handover>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t TakeRequest::Reader::getId() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t TakeRequest::Builder::getId()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TakeRequest::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void TakeRequest::Builder::setId(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TakeRequest::Reader::getUseWithinNanoseconds() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t TakeRequest::Reader::getUseWithinNanoseconds() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TakeRequest::Builder::getUseWithinNanoseconds() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t TakeRequest::Builder::getUseWithinNanoseconds()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TakeRequest::Builder::setUseWithinNanoseconds( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void TakeRequest::Builder::setUseWithinNanoseconds(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TakeRequest::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool TakeRequest::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TakeRequest::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool TakeRequest::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TakeRequest::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader TakeRequest::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TakeRequest::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder TakeRequest::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TakeRequest::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void TakeRequest::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TakeRequest::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder TakeRequest::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TakeRequest::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void TakeRequest::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TakeRequest::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> TakeRequest::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TakeReply::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t TakeReply::Reader::getId() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TakeReply::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t TakeReply::Builder::getId()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TakeReply::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void TakeReply::Builder::setId(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TakeReply::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t TakeReply::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TakeReply::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t TakeReply::Builder::getIncarnation()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TakeReply::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void TakeReply::Builder::setIncarnation(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t TakeReply::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint16_t TakeReply::Reader::getOutcome() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t TakeReply::Builder::getOutcome() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint16_t TakeReply::Builder::getOutcome()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void TakeReply::Builder::setOutcome( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void TakeReply::Builder::setOutcome(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TakeReply::Reader::getRetryAfterMilliseconds() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t TakeReply::Reader::getRetryAfterMilliseconds() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TakeReply::Builder::getRetryAfterMilliseconds() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t TakeReply::Builder::getRetryAfterMilliseconds()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void TakeReply::Builder::setRetryAfterMilliseconds( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void TakeReply::Builder::setRetryAfterMilliseconds(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TakeReply::Reader::hasHolder() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool TakeReply::Reader::hasHolder() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TakeReply::Builder::hasHolder() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool TakeReply::Builder::hasHolder()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TakeReply::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader TakeReply::Reader::getHolder() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TakeReply::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder TakeReply::Builder::getHolder()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TakeReply::Builder::setHolder( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void TakeReply::Builder::setHolder(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TakeReply::Builder::initHolder(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder TakeReply::Builder::initHolder(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TakeReply::Builder::adoptHolder(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void TakeReply::Builder::adoptHolder(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TakeReply::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> TakeReply::Builder::disownHolder()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Handover::Reader::getPartition() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Handover::Reader::getPartition() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Handover::Builder::getPartition() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Handover::Builder::getPartition()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Handover::Builder::setPartition( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Handover::Builder::setPartition(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Handover::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Handover::Reader::getEpoch() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Handover::Builder::getEpoch() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Handover::Builder::getEpoch()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Handover::Builder::setEpoch( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Handover::Builder::setEpoch(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Handover::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Handover::Reader::hasWorkspace() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Handover::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Handover::Builder::hasWorkspace()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Handover::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Handover::Reader::getWorkspace() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Handover::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Handover::Builder::getWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Handover::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Handover::Builder::setWorkspace(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Handover::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Handover::Builder::initWorkspace(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Handover::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Handover::Builder::adoptWorkspace(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Handover::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Handover::Builder::disownWorkspace()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double Handover::Reader::getTokens() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline double Handover::Reader::getTokens() const
+{
+    return _reader.getDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline double Handover::Builder::getTokens() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline double Handover::Builder::getTokens()
+{
+    return _builder.getDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Handover::Builder::setTokens(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Handover::Builder::setTokens(double value)
+{
+    _builder.setDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LoanRequest::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LoanRequest::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LoanRequest::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool LoanRequest::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool LoanRequest::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LoanRequest::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LoanRequest::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LoanRequest::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LoanRequest::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void LoanRequest::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> LoanRequest::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Loan::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Loan::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Loan::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Loan::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Loan::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Loan::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline double Loan::Reader::getRatePerSecond() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline double Loan::Builder::getRatePerSecond() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Loan::Builder::setRatePerSecond(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline double Loan::Reader::getBurst() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline double Loan::Builder::getBurst() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Loan::Builder::setBurst(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Loan::Reader::hasWorkspace() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Loan::Builder::hasWorkspace() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Loan::Reader::getWorkspace() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Loan::Builder::getWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Loan::Builder::setWorkspace( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Loan::Builder::initWorkspace(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Loan::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Loan::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-}  // namespace
-}  // namespace
-}  // namespace
+} // namespace wire
+} // namespace limits
+} // namespace damaskgate
 
 CAPNP_END_HEADER
-
