--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -23,6 +23,10 @@
 
 struct Balancer::Pool
 {
+    Pool(const core::ServiceName &name, std::uint64_t firstSequence)
+        : name(name), picker(firstSequence)
+    {}
+
     core::ServiceName name;
     ServiceQueue queue;
     EndpointPicker picker;
@@ -57,8 +61,7 @@
     for (const auto &[name, service] : this->settings->services) {
         std::shared_ptr<Pool> &pool = this->pools[name];
         if (!pool) {
-            pool = std::make_shared<Pool>();
-            pool->name = name;
+            pool = std::make_shared<Pool>(name, this->random() / 2);
         }
         pool->queue.setLimit(service.queueLimit);
         pool->picker.applySettings(*this->settings, service);
@@ -89,9 +92,9 @@
     this->serve(*pool);
 }
 
-void Balancer::setEvidenceListener(EvidenceListener listener)
+void Balancer::setObserver(IExchangeObserver *newObserver)
 {
-    this->evidenceListener = std::move(listener);
+    this->observer = newObserver;
 }
 
 void Balancer::tick()
@@ -155,8 +158,8 @@
     }
     const Held slot = found->second;
     this->held.erase(found);
-    if (this->evidenceListener) {
-        this->evidenceListener(slot.service, slot.endpoint, report);
+    if (this->observer != nullptr) {
+        this->observer->onEnded(grantId, report, this->clock.now());
     }
     const std::shared_ptr<Pool> pool = this->findPool(slot.service);
     if (!pool) {
@@ -309,6 +312,10 @@
     this->serviceOf.erase(requestId);
     SlotGrant slot { ++this->lastId, pool.name, pool.picker.take(endpoint) };
     this->held.emplace(slot.id, Held { pool.name, endpoint, this->clock.now() });
+    if (this->observer != nullptr) {
+        const bool isWarm = pool.picker.isWarm(endpoint);
+        this->observer->onStarted(slot, isWarm, this->clock.now());
+    }
     done(std::move(slot));
 }
 
--- a/src/balance/coldlease.cpp
+++ b/src/balance/coldlease.cpp
@@ -13,6 +13,8 @@
 
 } // namespace
 
+ColdLease::ColdLease(std::uint64_t firstSequence) : sequence(firstSequence) {}
+
 void ColdLease::applySettings(core::Duration newRamp, const std::set<core::EndpointName> &endpoints)
 {
     this->ramp = newRamp;
@@ -145,6 +147,11 @@
     state.confirmedAt = now;
 }
 
+bool ColdLease::isWarm(const core::EndpointName &endpoint) const
+{
+    return this->ramp == core::Duration::zero() || this->temperature(endpoint) == Temperature::Warm;
+}
+
 Temperature ColdLease::temperature(const core::EndpointName &endpoint) const
 {
     const auto found = this->states.find(endpoint);
--- a/src/balance/coldlease.h
+++ b/src/balance/coldlease.h
@@ -25,6 +25,12 @@
 class ColdLease
 {
 public:
+    /**
+     * @param firstSequence of the requests; random, so that no answer to an earlier process of
+     *        this host can be taken for one to this process
+     */
+    explicit ColdLease(std::uint64_t firstSequence);
+
     /** @param ramp from cold to warm; zero: endpoints have no cold phase */
     void applySettings(core::Duration ramp, const std::set<core::EndpointName> &endpoints);
 
@@ -57,6 +63,9 @@
     /** Applies an answer of the owner; older ones than applied are ignored. */
     void onAnswer(const SlotAnswer &answer, core::Instant now);
 
+    /** @return whether @p endpoint is warm or has no cold phase. */
+    bool isWarm(const core::EndpointName &endpoint) const;
+
     /** @return the temperature of @p endpoint. */
     Temperature temperature(const core::EndpointName &endpoint) const;
 
--- a/src/balance/endpointpicker.cpp
+++ b/src/balance/endpointpicker.cpp
@@ -19,6 +19,8 @@
 
 } // namespace
 
+EndpointPicker::EndpointPicker(std::uint64_t firstSequence) : lease(firstSequence) {}
+
 void EndpointPicker::applySettings(const settings::Settings &settings,
                                    const settings::Service &service)
 {
@@ -114,6 +116,11 @@
     return this->slots;
 }
 
+bool EndpointPicker::isWarm(const core::EndpointName &endpoint) const
+{
+    return this->lease.isWarm(endpoint);
+}
+
 ColdLease &EndpointPicker::coldLease()
 {
     return this->lease;
--- a/src/balance/endpointpicker.h
+++ b/src/balance/endpointpicker.h
@@ -24,6 +24,9 @@
 class EndpointPicker
 {
 public:
+    /** @param firstSequence of the requests to the owner of the service; random */
+    explicit EndpointPicker(std::uint64_t firstSequence);
+
     /** Takes over the endpoints of @p service that operators have in service. */
     void applySettings(const settings::Settings &settings, const settings::Service &service);
 
@@ -51,6 +54,9 @@
 
     std::uint32_t slotsPerEndpoint() const;
 
+    /** @return whether @p endpoint is past its cold phase as far as this host knows. */
+    bool isWarm(const core::EndpointName &endpoint) const;
+
     /** @return what this host may send to cold endpoints. */
     ColdLease &coldLease();
 
--- a/src/balance/include/damaskgate/balance/balancer.h
+++ b/src/balance/include/damaskgate/balance/balancer.h
@@ -13,6 +13,7 @@
 #include "damaskgate/settings/settingstypes.h"
 
 #include "damaskgate/balance/ibalancer.h"
+#include "damaskgate/balance/iexchangeobserver.h"
 #include "damaskgate/balance/slotmessages.h"
 
 namespace damaskgate::balance {
@@ -21,9 +22,6 @@
 class Balancer final : public IBalancer
 {
 public:
-    using EvidenceListener = std::function<void(
-        const core::ServiceName &, const core::EndpointName &, const ExchangeReport &)>;
-
     /** @param seed of the random choice between equal endpoints */
     Balancer(const core::IClock &clock, std::uint64_t seed);
     ~Balancer() override;
@@ -35,8 +33,8 @@
     void setEjected(const core::ServiceName &service,
                     const std::set<core::EndpointName> &endpoints);
 
-    /** Calls @p listener for each released exchange. */
-    void setEvidenceListener(EvidenceListener listener);
+    /** Tells @p observer of each exchange; it must outlive this object. */
+    void setObserver(IExchangeObserver *observer);
 
     /** Refuses requests whose deadline has passed and serves those that wait; every 10 ms. */
     void tick();
@@ -83,7 +81,7 @@
 
     const core::IClock &clock;
     std::mt19937_64 random;
-    EvidenceListener evidenceListener;
+    IExchangeObserver *observer = nullptr;
     settings::SettingsPtr settings;
     std::map<core::ServiceName, std::shared_ptr<Pool>> pools;
     std::map<std::uint64_t, Done> waiting; //!< by request
--- /dev/null
+++ b/src/health/endpointjudge.cpp
@@ -0,0 +1,194 @@
+#include "damaskgate/health/endpointjudge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <ranges>
+
+#include "changedetector.h"
+
+namespace damaskgate::health {
+
+namespace {
+
+constexpr double ShareDecay = 0.9; //!< of counts, for each evaluation
+constexpr double LatencyDecay = 0.98;
+constexpr double SharesMinimum = 4; //!< exchanges that make a share meaningful
+constexpr double LatencyMinimum = 40; //!< exchanges that make a median meaningful
+constexpr double SlowFactor = 3; //!< times the median latency
+constexpr std::chrono::milliseconds SmallestSlowLimit { 5 };
+
+struct Limits
+{
+    double least;
+    double most;
+    double faultyAtLeast;
+};
+
+constexpr Limits FailureLimits { 0.01, 0.5, 0.15 };
+constexpr Limits SlownessLimits { 0.08, 0.6, 0.45 };
+
+Hypotheses hypothesesFor(double usual, const Limits &limits)
+{
+    const double bounded = std::clamp(usual, limits.least, limits.most);
+    const double faulty = std::max(limits.faultyAtLeast, bounded + (1 - bounded) * 0.5);
+    return { bounded, bounded > limits.faultyAtLeast / 2 ? faulty : limits.faultyAtLeast };
+}
+
+} // namespace
+
+struct EndpointJudge::Batch
+{
+    core::HostName host;
+    core::DomainName domain;
+    Sample failures;
+    Sample slowness;
+};
+
+struct EndpointJudge::Record
+{
+    struct Share
+    {
+        double good = 0;
+        double bad = 0;
+
+        void add(Sample sample)
+        {
+            this->good += sample.good;
+            this->bad += sample.bad;
+        }
+
+        void decay()
+        {
+            this->good *= ShareDecay;
+            this->bad *= ShareDecay;
+        }
+    };
+
+    std::vector<Batch> batches; //!< since the last evaluation
+    Share failures;
+    Share slowness;
+    ChangeDetector failureDetector;
+    ChangeDetector slownessDetector;
+};
+
+EndpointJudge::EndpointJudge(JudgeThresholds thresholds) : thresholds(thresholds) {}
+
+EndpointJudge::~EndpointJudge() = default;
+EndpointJudge::EndpointJudge(EndpointJudge &&) noexcept = default;
+EndpointJudge &EndpointJudge::operator=(EndpointJudge &&) noexcept = default;
+
+void EndpointJudge::onReport(const core::HostName &host, const core::DomainName &domain,
+                             const EvidenceReport &report)
+{
+    for (const EndpointEvidence &evidence : report.endpoints) {
+        std::unique_ptr<Record> &record = this->records[evidence.endpoint];
+        if (!record) {
+            record = std::make_unique<Record>();
+        }
+        const Batch batch {
+            host, domain, { evidence.answered, evidence.failed }, { evidence.prompt, evidence.slow }
+        };
+        record->failures.add(batch.failures);
+        record->slowness.add(batch.slowness);
+        record->batches.push_back(batch);
+    }
+    for (const LatencyCount &latency : report.latencies) {
+        this->latencies.at(std::min<std::uint8_t>(latency.bucket, LatencyBuckets - 1)) +=
+            latency.count;
+    }
+}
+
+void EndpointJudge::evaluate()
+{
+    const double usualFailure = this->medianShare(false);
+    const double usualSlowness = this->medianShare(true);
+    for (const auto &record : this->records | std::views::values) {
+        this->judge(*record, usualFailure, usualSlowness);
+    }
+    this->updateSlowLimit();
+}
+
+double EndpointJudge::medianShare(bool isSlowness) const
+{
+    std::vector<double> shares;
+    for (const auto &record : this->records | std::views::values) {
+        const Record::Share &share = isSlowness ? record->slowness : record->failures;
+        const double count = share.good + share.bad;
+        if (count >= SharesMinimum) {
+            shares.push_back(share.bad / count);
+        }
+    }
+    if (shares.empty()) {
+        return 0;
+    }
+    const auto middle = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 2);
+    std::ranges::nth_element(shares, middle);
+    return *middle;
+}
+
+void EndpointJudge::judge(Record &record, double usualFailure, double usualSlowness)
+{
+    const Hypotheses failure = hypothesesFor(usualFailure, FailureLimits);
+    const Hypotheses slowness = hypothesesFor(usualSlowness, SlownessLimits);
+    for (const Batch &batch : record.batches) {
+        record.failureDetector.add(batch.host, batch.domain, batch.failures, failure);
+        record.slownessDetector.add(batch.host, batch.domain, batch.slowness, slowness);
+    }
+    record.batches.clear();
+    record.failures.decay();
+    record.slowness.decay();
+}
+
+void EndpointJudge::updateSlowLimit()
+{
+    const double total = std::accumulate(this->latencies.begin(), this->latencies.end(), 0.0);
+    if (total < LatencyMinimum) {
+        return;
+    }
+    double below = 0;
+    std::uint8_t bucket = 0;
+    for (; bucket + 1 < LatencyBuckets && below + this->latencies.at(bucket) < total / 2;
+         ++bucket) {
+        below += this->latencies.at(bucket);
+    }
+    const auto slow = std::chrono::duration<double, std::nano>(latencyOf(bucket)) * SlowFactor;
+    this->limit = std::max<core::Duration>(std::chrono::duration_cast<core::Duration>(slow),
+                                           SmallestSlowLimit);
+    std::ranges::for_each(this->latencies, [](double &count) { count *= LatencyDecay; });
+}
+
+std::vector<core::EndpointName> EndpointJudge::faulty() const
+{
+    std::vector<std::pair<double, core::EndpointName>> found;
+    for (const auto &[name, record] : this->records) {
+        const bool isFailing = record->failureDetector.isAlarm(this->thresholds.failure);
+        const bool isSlow = record->slownessDetector.isAlarm(this->thresholds.slowness);
+        if (isFailing || isSlow) {
+            const double score =
+                std::max(record->failureDetector.score(), record->slownessDetector.score());
+            found.emplace_back(-score, name);
+        }
+    }
+    std::ranges::sort(found);
+    std::vector<core::EndpointName> names;
+    std::ranges::copy(found | std::views::values, std::back_inserter(names));
+    return names;
+}
+
+void EndpointJudge::onReadmitted(const core::EndpointName &endpoint)
+{
+    const auto found = this->records.find(endpoint);
+    if (found == this->records.end()) {
+        return;
+    }
+    found->second->failureDetector.reset(this->thresholds.failure / 2);
+    found->second->slownessDetector.reset(this->thresholds.slowness / 2);
+}
+
+core::Duration EndpointJudge::slowLimit() const
+{
+    return this->limit;
+}
+
+} // namespace damaskgate::health
--- /dev/null
+++ b/src/health/include/damaskgate/health/endpointjudge.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "damaskgate/core/names.h"
+#include "damaskgate/core/time.h"
+
+#include "damaskgate/health/healthmessages.h"
+#include "damaskgate/health/latencyscale.h"
+
+namespace damaskgate::health {
+
+/** How much evidence makes an endpoint faulty. */
+struct JudgeThresholds
+{
+    double failure = 12; //!< log-likelihood ratio of failures
+    double slowness = 16; //!< log-likelihood ratio of slow exchanges
+};
+
+/** Judges the endpoints of one service against each other by the reports of all entry hosts. */
+class EndpointJudge
+{
+public:
+    explicit EndpointJudge(JudgeThresholds thresholds = {});
+    ~EndpointJudge();
+    EndpointJudge(EndpointJudge &&) noexcept;
+    EndpointJudge &operator=(EndpointJudge &&) noexcept;
+
+    /** Counts @p report of @p host, which stands in @p domain. */
+    void onReport(const core::HostName &host, const core::DomainName &domain,
+                  const EvidenceReport &report);
+
+    /** Judges what came since the last call; called every ReportInterval. */
+    void evaluate();
+
+    /** @return the faulty endpoints, the most certain first. */
+    std::vector<core::EndpointName> faulty() const;
+
+    /** @p endpoint is used again; a fault that goes on is found with half of the evidence. */
+    void onReadmitted(const core::EndpointName &endpoint);
+
+    /** @return latency from which an exchange counts as slow. */
+    core::Duration slowLimit() const;
+
+private:
+    struct Record;
+    struct Batch;
+
+    double medianShare(bool isSlowness) const;
+    void judge(Record &record, double usualFailure, double usualSlowness);
+    void updateSlowLimit();
+
+    JudgeThresholds thresholds;
+    std::map<core::EndpointName, std::unique_ptr<Record>> records;
+    std::array<double, LatencyBuckets> latencies {};
+    core::Duration limit = DefaultSlowLimit;
+};
+
+} // namespace damaskgate::health
