health: a queue at a busy endpoint is not slowness

Cause: at 0.85 of the capacity exchanges wait at endpoints, so slow ones come in bursts; the detector takes them as independent. Change: an endpoint is slow only if the slot time of one exchange, min(in flight, slots) over the rate of ended exchanges, is 1.8 times the median of the service.

--- a/src/health/endpointjudge.cpp
+++ b/src/health/endpointjudge.cpp
@@ -16,6 +16,7 @@
 constexpr double SharesMinimum = 4; //!< exchanges that make a share meaningful
 constexpr double LatencyMinimum = 40; //!< exchanges that make a median meaningful
 constexpr double SlowFactor = 3; //!< times the median latency
+constexpr double WorkTimeFactor = 1.8; //!< times the median work time makes an endpoint slow
 constexpr std::chrono::milliseconds SmallestSlowLimit { 5 };
 
 struct Limits
@@ -65,7 +66,19 @@
         }
     };
 
+    /**
+     * Time of a slot that one exchange takes, in seconds. Exchanges that only wait for a slot of a
+     * busy endpoint do not count, so that a queue is not taken for slowness.
+     */
+    double workTime() const
+    {
+        return this->slotTime / std::max(this->ended, 1.0);
+    }
+
     std::vector<Batch> batches; //!< since the last evaluation
+    core::Duration busy {}; //!< since the last evaluation
+    double slotTime = 0; //!< seconds
+    double ended = 0;
     Share failures;
     Share slowness;
     ChangeDetector failureDetector;
@@ -92,6 +105,8 @@
         record->failures.add(batch.failures);
         record->slowness.add(batch.slowness);
         record->batches.push_back(batch);
+        record->busy += evidence.busy;
+        record->ended += evidence.ended;
     }
     for (const LatencyCount &latency : report.latencies) {
         this->latencies.at(std::min<std::uint8_t>(latency.bucket, LatencyBuckets - 1)) +=
@@ -127,6 +142,27 @@
     return *middle;
 }
 
+double EndpointJudge::medianWorkTime() const
+{
+    std::vector<double> times;
+    for (const auto &record : this->records | std::views::values) {
+        if (record->ended >= SharesMinimum) {
+            times.push_back(record->workTime());
+        }
+    }
+    if (times.empty()) {
+        return 0;
+    }
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::ranges::nth_element(times, middle);
+    return *middle;
+}
+
+void EndpointJudge::setSlots(std::uint32_t count)
+{
+    this->slots = count;
+}
+
 void EndpointJudge::judge(Record &record, double usualFailure, double usualSlowness)
 {
     const Hypotheses failure = hypothesesFor(usualFailure, FailureLimits);
@@ -136,8 +172,13 @@
         record.slownessDetector.add(batch.host, batch.domain, batch.slowness, slowness);
     }
     record.batches.clear();
+    const core::Duration most = ReportInterval * this->slots;
+    record.slotTime += std::chrono::duration<double>(std::min(record.busy, most)).count();
+    record.busy = {};
     record.failures.decay();
     record.slowness.decay();
+    record.slotTime *= ShareDecay;
+    record.ended *= ShareDecay;
 }
 
 void EndpointJudge::updateSlowLimit()
@@ -160,10 +201,12 @@
 
 std::vector<core::EndpointName> EndpointJudge::faulty() const
 {
+    const double usualWorkTime = this->medianWorkTime();
     std::vector<std::pair<double, core::EndpointName>> found;
     for (const auto &[name, record] : this->records) {
         const bool isFailing = record->failureDetector.isAlarm(this->thresholds.failure);
-        const bool isSlow = record->slownessDetector.isAlarm(this->thresholds.slowness);
+        const bool isSlow = record->workTime() >= usualWorkTime * WorkTimeFactor
+            && record->slownessDetector.isAlarm(this->thresholds.slowness);
         if (isFailing || isSlow) {
             const double score =
                 std::max(record->failureDetector.score(), record->slownessDetector.score());
--- a/src/health/evidencecollector.cpp
+++ b/src/health/evidencecollector.cpp
@@ -11,11 +11,11 @@
 
 void EvidenceCollector::onStarted(const balance::SlotGrant &grant, bool isWarm, core::Instant now)
 {
-    this->exchanges[grant.id] = { grant.service, grant.endpoint.name, now, isWarm, false };
+    this->exchanges[grant.id] = { grant.service, grant.endpoint.name, now, now, isWarm, false };
 }
 
 void EvidenceCollector::onEnded(std::uint64_t grantId, const balance::ExchangeReport &report,
-                                core::Instant /*now*/)
+                                core::Instant now)
 {
     const auto found = this->exchanges.find(grantId);
     if (found == this->exchanges.end()) {
@@ -26,6 +26,8 @@
     Counts &counts = this->services[exchange.service];
     EndpointEvidence &evidence = counts.endpoints[exchange.endpoint];
     this->countOutcome(evidence, report.outcome);
+    evidence.busy += now - exchange.countedUntil;
+    evidence.ended += report.outcome == balance::Outcome::Shed ? 0 : 1;
     if (exchange.isWarm && !exchange.isCountedSlow) {
         this->countLatency(counts, evidence, report);
     }
@@ -70,24 +72,29 @@
     this->services[service].slowLimit = limit;
 }
 
-void EvidenceCollector::countOverdue(const core::ServiceName &service, core::Instant now)
+void EvidenceCollector::countRunning(const core::ServiceName &service, core::Instant now)
 {
     Counts &counts = this->services[service];
     for (Exchange &exchange : this->exchanges | std::views::values) {
+        if (exchange.service != service) {
+            continue;
+        }
+        EndpointEvidence &evidence = counts.endpoints[exchange.endpoint];
+        evidence.busy += now - exchange.countedUntil;
+        exchange.countedUntil = now;
         const bool isOverdue = exchange.start + counts.slowLimit < now;
-        if (exchange.service != service || !isOverdue || exchange.isCountedSlow
-            || !exchange.isWarm) {
+        if (!isOverdue || exchange.isCountedSlow || !exchange.isWarm) {
             continue;
         }
         exchange.isCountedSlow = true;
-        ++counts.endpoints[exchange.endpoint].slow;
+        ++evidence.slow;
         ++counts.latencies[latencyBucket(now - exchange.start)];
     }
 }
 
 EvidenceReport EvidenceCollector::takeReport(const core::ServiceName &service, core::Instant now)
 {
-    this->countOverdue(service, now);
+    this->countRunning(service, now);
     Counts &counts = this->services[service];
     EvidenceReport report { service, 0, {}, {} };
     for (auto &[name, evidence] : counts.endpoints) {
--- a/src/health/include/damaskgate/health/endpointjudge.h
+++ b/src/health/include/damaskgate/health/endpointjudge.h
@@ -29,6 +29,9 @@
     EndpointJudge(EndpointJudge &&) noexcept;
     EndpointJudge &operator=(EndpointJudge &&) noexcept;
 
+    /** @param count requests that one endpoint works on at the same time */
+    void setSlots(std::uint32_t count);
+
     /** Counts @p report of @p host, which stands in @p domain. */
     void onReport(const core::HostName &host, const core::DomainName &domain,
                   const EvidenceReport &report);
@@ -50,6 +53,7 @@
     struct Batch;
 
     double medianShare(bool isSlowness) const;
+    double medianWorkTime() const;
     void judge(Record &record, double usualFailure, double usualSlowness);
     void updateSlowLimit();
 
@@ -57,6 +61,7 @@
     std::map<core::EndpointName, std::unique_ptr<Record>> records;
     std::array<double, LatencyBuckets> latencies {};
     core::Duration limit = DefaultSlowLimit;
+    std::uint32_t slots = 1;
 };
 
 } // namespace damaskgate::health
--- a/src/health/include/damaskgate/health/evidencecollector.h
+++ b/src/health/include/damaskgate/health/evidencecollector.h
@@ -30,6 +30,7 @@
         core::ServiceName service;
         core::EndpointName endpoint;
         core::Instant start;
+        core::Instant countedUntil; //!< time in flight before this has been reported
         bool isWarm = false;
         bool isCountedSlow = false;
     };
@@ -44,7 +45,7 @@
     void countOutcome(EndpointEvidence &evidence, balance::Outcome outcome) const;
     void countLatency(Counts &counts, EndpointEvidence &evidence,
                       const balance::ExchangeReport &report) const;
-    void countOverdue(const core::ServiceName &service, core::Instant now);
+    void countRunning(const core::ServiceName &service, core::Instant now);
 
     std::map<std::uint64_t, Exchange> exchanges; //!< by grant
     std::map<core::ServiceName, Counts> services;
--- a/src/health/include/damaskgate/health/healthmessages.h
+++ b/src/health/include/damaskgate/health/healthmessages.h
@@ -17,6 +17,8 @@
     std::uint32_t failed = 0; //!< errors, timeouts, failed and broken connections
     std::uint32_t prompt = 0; //!< first byte within the slow limit
     std::uint32_t slow = 0; //!< shed, or first byte later than the slow limit or still awaited
+    std::uint32_t ended = 0; //!< exchanges that the endpoint worked on and that ended
+    core::Duration busy {}; //!< sum of the time that exchanges were in flight
 };
 
 /** Exchanges of one entry host with one latency, in a logarithmic scale. */
--- a/src/health/serviceowner.cpp
+++ b/src/health/serviceowner.cpp
@@ -28,6 +28,7 @@
     }
     const auto found = settings.services.find(this->service);
     const bool isKnown = found != settings.services.end();
+    this->judge.setSlots(isKnown ? found->second.slots : 1);
     this->planner.applyFloor(isKnown ? Floor(settings, found->second) : Floor {});
 }
 
