load: open-loop load program with reports and comparison

Requests arrive by Poisson or evenly, whatever the answers take; latency counts from the intended send time, so a stall of the fleet shows in full. Callers look up their entries, keep the answer for its time to live and go to another entry only when that is safe. A request that may not repeat carries the ticket of the host it is sent to, since tickets bind to the host that gave them.

A refusal is called wrongful when everything that the workspace has offered so far, admitted or not, fits into its rate and burst.

--- /dev/null
+++ b/src/load/httpclient.cpp
@@ -0,0 +1,118 @@
+#include "httpclient.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace damaskgate::load {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto WithError = asio::as_tuple(asio::use_awaitable);
+constexpr char ReasonField[] = "Damaskgate-Reason";
+constexpr char VerdictField[] = "Damaskgate-Verdict";
+
+using Response = http::response<http::string_body>;
+
+std::string fieldText(const Response &response, const char *name)
+{
+    const auto value = response[name];
+    return { value.data(), value.size() };
+}
+
+Ending endingOf(beast::error_code error)
+{
+    return error == beast::error::timeout ? Ending::Timeout : Ending::Broken;
+}
+
+void readAnswer(const Response &response, const std::string &requestId, ExchangeResult &result)
+{
+    result.status = response.result_int();
+    result.reason = fieldText(response, ReasonField);
+    result.verdict = fieldText(response, VerdictField);
+    result.ending = result.reason.empty() ? Ending::Answered : Ending::Refused;
+    const std::string echoed = fieldText(response, RequestIdField);
+    const bool isInBody =
+        !requestId.empty() && response.body().find(requestId) != std::string::npos;
+    result.isEchoed = !echoed.empty() || isInBody;
+    result.isOwn = echoed.empty() || echoed == requestId;
+}
+
+/** @return whether the peer has closed the idle connection or sent something unasked. */
+bool isStale(beast::tcp_stream &stream)
+{
+    beast::error_code error;
+    char byte = 0;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+} // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor) : executor(std::move(executor)) {}
+
+std::unique_ptr<HttpClient::Stream> HttpClient::takeIdle(const Address &address)
+{
+    std::vector<std::unique_ptr<Stream>> &kept = this->idle[address];
+    while (!kept.empty()) {
+        std::unique_ptr<Stream> stream = std::move(kept.back());
+        kept.pop_back();
+        if (!isStale(*stream)) {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<HttpAnswer> HttpClient::exchange(Address address, HttpRequest request,
+                                                 std::string requestId, core::Duration timeout)
+{
+    HttpAnswer answer;
+    std::unique_ptr<Stream> stream = this->takeIdle(address);
+    if (!stream) {
+        stream = std::make_unique<Stream>(this->executor);
+        stream->expires_after(timeout);
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        const auto [error] = co_await stream->async_connect(endpoint, WithError);
+        if (error) {
+            answer.result.ending = Ending::NotConnected;
+            co_return answer;
+        }
+        stream->socket().set_option(tcp::no_delay(true));
+        answer.result.hasNewConnection = true;
+    }
+
+    stream->expires_after(timeout);
+    const auto [writeError, written] = co_await http::async_write(*stream, request, WithError);
+    if (writeError) {
+        answer.result.ending = endingOf(writeError);
+        co_return answer;
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    parser.skip(request.method() == http::verb::head);
+    const auto [readError, read] = co_await http::async_read(*stream, buffer, parser, WithError);
+    if (readError) {
+        answer.result.ending = endingOf(readError);
+        co_return answer;
+    }
+    readAnswer(parser.get(), requestId, answer.result);
+    answer.body = std::move(parser.get().body());
+    if (parser.get().keep_alive() && buffer.size() == 0) {
+        stream->expires_never();
+        this->idle[address].push_back(std::move(stream));
+    }
+    co_return answer;
+}
+
+} // namespace damaskgate::load
--- /dev/null
+++ b/src/load/tests/report_test.cpp
@@ -0,0 +1,84 @@
+#include "damaskgate/load/report.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace damaskgate;
+using namespace damaskgate::load;
+using namespace std::chrono_literals;
+
+namespace {
+
+ExchangeResult answered(unsigned status)
+{
+    ExchangeResult result;
+    result.status = status;
+    result.isEchoed = true;
+    return result;
+}
+
+ExchangeResult refused()
+{
+    ExchangeResult result;
+    result.ending = Ending::Refused;
+    result.reason = "rate-limited";
+    result.verdict = "not-run";
+    return result;
+}
+
+} // namespace
+
+TEST(RunReport_Tests, ToJson_MixedResults_CountsEachKind)
+{
+    // [GIVEN] Results of each kind for one stream
+    RunReport report;
+    const RunReport::Key key { "p", "w", "r" };
+    ExchangeResult wrong = answered(200);
+    wrong.isOwn = false;
+    report.add(key, answered(200), 10ms, true, 1);
+    report.add(key, answered(500), 10ms, true, 1);
+    report.add(key, refused(), 1ms, true, 3);
+    report.add(key, refused(), 1ms, false, 1);
+    report.add(key, wrong, 1ms, true, 1);
+
+    // [WHEN] The report is made
+    const nlohmann::json stream = report.toJson()["streams"][0];
+
+    // [THEN] Each kind has its count, and only good answers their latency
+    EXPECT_EQ(stream["requests"], 5);
+    EXPECT_EQ(stream["good"], 1);
+    EXPECT_EQ(stream["refusals"]["rate-limited/not-run"], 2);
+    EXPECT_EQ(stream["wrongful_refusals"], 1);
+    EXPECT_EQ(stream["wrong_answers"], 1);
+    EXPECT_EQ(stream["attempts_elsewhere"], 2);
+    EXPECT_NEAR(stream["p50_ms"].get<double>(), 10, 0.2);
+}
+
+TEST(RunReport_Tests, ToJson_TwoWorkspaces_NamesTheWorstServed)
+{
+    // [GIVEN] A workspace that is refused and a slower one that is answered
+    RunReport report;
+    report.add({ "p", "refused", "r" }, refused(), 1ms, true, 1);
+    report.add({ "p", "slow", "r" }, answered(200), 900ms, true, 1);
+
+    // [WHEN] The report is made
+    // [THEN] The refused one is the worst served
+    EXPECT_EQ(report.toJson()["worst_workspace"]["p"]["workspace"], "refused");
+}
+
+TEST(RunReport_Tests, CompareText_SameStreams_GivesTheAddedTime)
+{
+    // [GIVEN] A direct run and one through the fleet
+    RunReport direct;
+    RunReport fleet;
+    direct.add({ "p", "w", "r" }, answered(200), 10ms, true, 1);
+    fleet.add({ "p", "w", "r" }, answered(200), 30ms, true, 1);
+
+    // [WHEN] They are compared
+    const std::string text = compareText(direct.toJson(), fleet.toJson());
+
+    // [THEN] The difference is there
+    EXPECT_NE(text.find("p/w/r"), std::string::npos);
+    EXPECT_TRUE(text.find(" 20.") != std::string::npos || text.find(" 19.") != std::string::npos)
+        << text;
+}
