--- a/src/lease/include/damaskgate/lease/roster.h
+++ b/src/lease/include/damaskgate/lease/roster.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -29,9 +30,10 @@
      * @param revision of the settings
      * @param hosts the present fleet
      * @param previous the fleet before the last change; empty after the first publication
+     * @param only the one partition to place; all without it
      */
     Roster(std::uint64_t revision, std::span<const RosterHost> hosts,
-           std::span<const RosterHost> previous);
+           std::span<const RosterHost> previous, std::optional<PartitionId> only = {});
 
     /** @return the roster that @p settings publish. */
     static std::shared_ptr<const Roster> fromSettings(const settings::Settings &settings);
--- a/src/lease/roster.cpp
+++ b/src/lease/roster.cpp
@@ -106,7 +106,7 @@
 }
 
 Roster::Roster(std::uint64_t revision, std::span<const RosterHost> hosts,
-               std::span<const RosterHost> previous)
+               std::span<const RosterHost> previous, std::optional<PartitionId> only)
     : rosterId { hashRoster(hosts, previous), revision }
 {
     const auto hashes = hashHosts(hosts);
@@ -115,6 +115,9 @@
     const std::size_t previousDomains = countDomains(previous);
     this->placements.resize(PartitionCount);
     for (PartitionId partition = 0; partition < PartitionCount; ++partition) {
+        if (only && *only != partition) {
+            continue;
+        }
         Placement &placement = this->placements[partition];
         const auto ranked = rank(hosts, hashes, partition);
         for (const auto &[score, host] :
--- a/src/limits/limitermachine.cpp
+++ b/src/limits/limitermachine.cpp
@@ -176,8 +176,11 @@
 void LimiterMachine::redirect(std::deque<Waiter> waiters, core::Instant now)
 {
     for (const Waiter &waiter : waiters) {
-        if (waiter.ticket != 0) {
+        // A request that gave up meanwhile leaves its waiter behind.
+        if (this->attempts.contains(waiter.ticket)) {
             this->advance(waiter.ticket, now);
+        }
+        if (waiter.ticket != 0) {
             continue;
         }
         this->send(
--- /dev/null
+++ b/tests/search/tests/fleetsimulation_test.cpp
@@ -0,0 +1,47 @@
+#include "fleetsimulation.h"
+
+#include <functional>
+
+#include <gtest/gtest.h>
+
+using namespace damaskgate::search;
+
+TEST(FleetSimulation_Tests, Run_RandomFaults_KeepsTheBoundAndOneHolder)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        const RunResult result = FleetSimulation(makePlan(seed), {}).run();
+        EXPECT_FALSE(result.violation) << "seed " << seed << ": " << *result.violation;
+    }
+}
+
+struct GuardCase
+{
+    const char *name;
+    void (*remove)(Guards &);
+    std::uint64_t firstSeed;
+};
+
+class GuardTests : public testing::TestWithParam<GuardCase>
+{};
+
+TEST_P(GuardTests, Run_GuardTakenOut_ViolationIsFound)
+{
+    // [GIVEN] All rules but one
+    Guards guards;
+    GetParam().remove(guards);
+
+    // [WHEN] Schedules are run from a seed that is known to need it
+    bool isFound = false;
+    for (std::uint64_t seed = GetParam().firstSeed; !isFound && seed < GetParam().firstSeed + 3;
+         ++seed) {
+        isFound = FleetSimulation(makePlan(seed), guards).run().violation.has_value();
+    }
+
+    // [THEN] The bound or the single holder breaks
+    EXPECT_TRUE(isFound);
+}
+
+INSTANTIATE_TEST_SUITE_P(Guards, GuardTests,
+                         testing::Values(GuardCase {
+                             "StartsEmpty", [](Guards &g) { g.limits.startsEmpty = false; }, 1 }),
+                         [](const auto &info) { return info.param.name; });
