--- /dev/null
+++ b/src/entry/tests/entryfixture.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include "damaskgate/core/event.h"
+#include "damaskgate/entry/entryserver.h"
+
+#include "fakes.h"
+#include "rawpeer.h"
+
+namespace damaskgate::entry {
+
+inline constexpr char Key[] = "dgk-key-1";
+
+/** An entry on a thread of its own, with two endpoints that the test plays. */
+class EntryFixture : public testing::Test
+{
+protected:
+    EntryFixture();
+    ~EntryFixture() override;
+
+    /** Starts the entry with the options as they are. */
+    void start();
+
+    /** Runs @p action on the data thread and waits for it. */
+    template <typename Action>
+    auto call(Action action)
+    {
+        std::packaged_task<decltype(action())()> task(std::move(action));
+        auto result = task.get_future();
+        boost::asio::post(this->ioContext, [&task] { task(); });
+        return result.get();
+    }
+
+    /** Waits until @p condition holds on the data thread. */
+    bool eventually(const std::function<bool()> &condition);
+
+    RawPeer connect() const;
+
+    /** @return a request with the key and @p rest, which ends each field with a line end. */
+    static std::string request(const std::string &line, const std::string &rest = {});
+
+    /** Sends a request on a new connection. @return the connection */
+    RawPeer sendNew(const std::string &line, const std::string &rest = {}) const;
+
+    static std::shared_ptr<settings::Settings> makeSettings();
+
+    boost::asio::io_context ioContext { 1 };
+    core::SystemClock clock;
+    core::NullEventSink events;
+    FakeSettingsStore store;
+    FakeAdmission admission;
+    FakeBalancer balancer;
+    FakeLookup lookup;
+    FakeObserver observer;
+    EntryOptions options;
+    RawEndpoint first;
+    RawEndpoint second;
+    std::unique_ptr<EntryServer> server;
+    std::uint16_t port = 0;
+
+private:
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    std::thread thread;
+};
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/tests/fakes.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "damaskgate/balance/ibalancer.h"
+#include "damaskgate/entry/ilookup.h"
+#include "damaskgate/entry/irequestobserver.h"
+#include "damaskgate/limits/iadmission.h"
+#include "damaskgate/settings/isettingsstore.h"
+
+namespace damaskgate::entry {
+
+/** Holds settings that a test replaces. */
+class FakeSettingsStore final : public settings::ISettingsStore
+{
+public:
+    settings::SettingsPtr current() const override
+    {
+        return this->settings;
+    }
+
+    void addListener(Listener listener) override
+    {
+        this->listeners.push_back(std::move(listener));
+    }
+
+    void replace(settings::SettingsPtr next)
+    {
+        this->settings = std::move(next);
+        for (const Listener &listener : this->listeners) {
+            listener(this->settings);
+        }
+    }
+
+private:
+    settings::SettingsPtr settings;
+    std::vector<Listener> listeners;
+};
+
+/** Admits everything, or refuses everything. */
+class FakeAdmission final : public limits::IAdmission
+{
+public:
+    void admit(const core::WorkspaceName & /*workspace*/, core::Instant /*deadline*/,
+               Done done) override
+    {
+        ++this->asked;
+        done(this->isOpen ? core::Result<void> {}
+                          : core::notRun(core::Reason::RateLimited, "over the rate"));
+    }
+
+    bool isOpen = true;
+    int asked = 0;
+};
+
+/** Grants the first endpoint that is not excluded, or holds requests back until told. */
+class FakeBalancer final : public balance::IBalancer
+{
+public:
+    std::uint64_t acquire(const balance::WorkRequest &request, Done done) override
+    {
+        if (this->isHolding) {
+            this->waiting.emplace_back(++this->lastId,
+                                       [this, request, done] { done(this->choose(request)); });
+            return this->lastId;
+        }
+        done(this->choose(request));
+        return 0;
+    }
+
+    void cancel(std::uint64_t requestId) override
+    {
+        ++this->cancelled;
+        std::erase_if(this->waiting,
+                      [requestId](const auto &item) { return item.first == requestId; });
+    }
+
+    void release(std::uint64_t grantId, const balance::ExchangeReport &report) override
+    {
+        this->held.erase(grantId);
+        this->reports.push_back(report);
+    }
+
+    void letGo()
+    {
+        this->isHolding = false;
+        for (auto &item : std::exchange(this->waiting, {})) {
+            item.second();
+        }
+    }
+
+    std::vector<settings::Endpoint> endpoints;
+    std::vector<balance::ExchangeReport> reports;
+    std::set<std::uint64_t> held;
+    std::deque<std::pair<std::uint64_t, std::function<void()>>> waiting;
+    bool isHolding = false;
+    int cancelled = 0;
+
+private:
+    core::Result<balance::SlotGrant> choose(const balance::WorkRequest &request)
+    {
+        for (const settings::Endpoint &endpoint : this->endpoints) {
+            if (std::ranges::find(request.excluded, endpoint.name) == request.excluded.end()) {
+                this->held.insert(++this->lastId);
+                return balance::SlotGrant { this->lastId, request.service, endpoint };
+            }
+        }
+        return core::notRun(core::Reason::NoEndpoint, "no endpoint is left");
+    }
+
+    std::uint64_t lastId = 0;
+};
+
+class FakeLookup final : public ILookup
+{
+public:
+    std::vector<LookupEntry> rankFor(const core::WorkspaceName & /*workspace*/) override
+    {
+        return { { core::HostName("ves-01"), "127.0.0.1", 8080, core::DomainName("vesturbaer") } };
+    }
+
+    std::chrono::seconds timeToLive() const override
+    {
+        return std::chrono::seconds(7);
+    }
+};
+
+/** Keeps every record. */
+class FakeObserver final : public IRequestObserver
+{
+public:
+    void onRequestFinished(const RequestRecord &record) override
+    {
+        this->records.push_back(record);
+    }
+
+    std::vector<RequestRecord> records;
+};
+
+} // namespace damaskgate::entry
--- /dev/null
+++ b/src/entry/tests/forwarding_test.cpp
@@ -0,0 +1,273 @@
+#include "entryfixture.h"
+
+using namespace damaskgate;
+using namespace damaskgate::entry;
+
+class Forwarding_Tests : public EntryFixture
+{
+protected:
+    Forwarding_Tests()
+    {
+        this->start();
+    }
+};
+
+TEST_F(Forwarding_Tests, Request_WithKeyEverywhere_UpstreamSeesNone)
+{
+    // [GIVEN] A request that carries its key in many places, and fields of the connection
+    RawPeer caller = this->connect();
+    caller.send("GET /read/%61?a=1&damaskgate_key=dgk-key-1&n=dgk%2dkey%2D1 HTTP/1.1\r\n"
+                "Host: hall\r\nAuthorization: Bearer dgk-key-1\r\nDamaskgate-Key: dgk-key-1\r\n"
+                "Cookie: k=dgk-key-1\r\nReferer: http://x/?damaskgate_key=dgk-key-1\r\n"
+                "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
+                "Keep-Alive: 5\r\nProxy-Authorization: x\r\nDamaskgate-Trace: trace-1\r\n"
+                "Damaskgate-Deadline-Ms: 5000\r\nAccept: text/plain\r\n\r\n");
+
+    // [WHEN] It reaches the endpoint
+    RawPeer upstream = this->first.accept();
+    const WireMessage seen = upstream.readRequestHead();
+
+    // [THEN] The key and the connection's fields are gone, the rest is there
+    EXPECT_EQ(seen.startLine, "GET /read/a?a=1");
+    for (const auto &[name, value] : seen.fields) {
+        EXPECT_EQ(value.find("dgk-key"), std::string::npos) << name;
+    }
+    for (const char *name : { "authorization", "damaskgate-key", "cookie", "referer", "x-hop", "te",
+                              "keep-alive", "proxy-authorization", "connection" }) {
+        EXPECT_EQ(seen.fields.count(name), 0) << name;
+    }
+    EXPECT_EQ(seen.field("Host"), "hall");
+    EXPECT_EQ(seen.field("Accept"), "text/plain");
+    EXPECT_EQ(seen.field("Via"), "1.1 damaskgate");
+    EXPECT_EQ(seen.field("Damaskgate-Trace"), "trace-1");
+    EXPECT_LE(std::stoi(seen.field("Damaskgate-Deadline-Ms")), 5000);
+
+    // [THEN] The caller gets the answer without the endpoint's own fields
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nUpstream-Load: in-flight=1, slots=6, "
+                  "incarnation=9\r\nDamaskgate-Reason: forged\r\nX-A: b\r\n\r\nok");
+    const WireMessage answer = caller.readAnswer();
+    EXPECT_EQ(answer.status(), 200);
+    EXPECT_EQ(answer.body, "ok");
+    EXPECT_EQ(answer.field("X-A"), "b");
+    EXPECT_EQ(answer.field("Upstream-Load"), "");
+    EXPECT_EQ(answer.field("Damaskgate-Reason"), "");
+    EXPECT_EQ(answer.field("Damaskgate-Trace"), "trace-1");
+    ASSERT_TRUE(this->eventually([this] { return this->balancer.reports.size() == 1; }));
+    EXPECT_EQ(this->balancer.reports.front().load->incarnation, 9);
+}
+
+TEST_F(Forwarding_Tests, KeepAlive_Pipelined_AnswersInOrderOnOneUpstreamConnection)
+{
+    // [GIVEN] Two requests in one packet
+    RawPeer caller = this->connect();
+    caller.send(request("GET /read/1") + request("GET /read/2"));
+
+    // [WHEN] The endpoint answers each on the same connection
+    RawPeer upstream = this->first.accept();
+    EXPECT_EQ(upstream.readRequestHead().startLine, "GET /read/1");
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+    EXPECT_EQ(upstream.readRequestHead().startLine, "GET /read/2");
+    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n");
+
+    // [THEN] The caller gets both answers in order
+    EXPECT_EQ(caller.readAnswer().body, "one");
+    EXPECT_EQ(caller.readAnswer().body, "two");
+}
+
+TEST_F(Forwarding_Tests, Head_AnswerWithLength_NoBodyAndConnectionKept)
+{
+    // [GIVEN] A HEAD request
+    RawPeer caller = this->sendNew("HEAD /read/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+
+    // [WHEN] The endpoint names the length that a GET would have
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+
+    // [THEN] The caller gets the header alone, and both connections go on
+    const WireMessage answer = caller.readAnswer(true);
+    EXPECT_EQ(answer.field("Content-Length"), "500");
+    caller.send(request("GET /read/2"));
+    EXPECT_EQ(upstream.readRequestHead().startLine, "GET /read/2");
+    upstream.send("HTTP/1.1 204 No Content\r\n\r\n");
+    EXPECT_EQ(caller.readAnswer().status(), 204);
+}
+
+TEST_F(Forwarding_Tests, Body_ChunkedAndSized_ArrivesWhole)
+{
+    // [GIVEN] A small body in chunks, with a trailer that names a key
+    RawPeer caller = this->sendNew("POST /read/1", "Transfer-Encoding: chunked\r\n");
+    caller.send("3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nCookie: dgk-key-1\r\n\r\n");
+
+    // [THEN] The endpoint gets the body in chunks, without the trailer
+    RawPeer upstream = this->first.accept();
+    EXPECT_EQ(upstream.readRequestHead().field("Transfer-Encoding"), "chunked");
+    EXPECT_TRUE(upstream.readUntil("5\r\nabcde\r\n0\r\n\r\n"));
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(caller.readAnswer().status(), 200);
+
+    // [WHEN] A body with a length follows on the same connection
+    caller.send(request("POST /read/2", "Content-Length: 4\r\n") + "wxyz");
+
+    // [THEN] It is passed on with its length
+    EXPECT_EQ(upstream.readRequestHead().field("Content-Length"), "4");
+    EXPECT_TRUE(upstream.readUntil("wxyz"));
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(caller.readAnswer().status(), 200);
+}
+
+TEST_F(Forwarding_Tests, ExpectContinue_Accepted_BodyIsAskedForThenForwarded)
+{
+    // [GIVEN] A caller that waits before it sends its body
+    RawPeer caller = this->sendNew("POST /book/1", "Content-Length: 4\r\nExpect: 100-continue\r\n");
+
+    // [WHEN] The entry asks for the body
+    EXPECT_EQ(caller.readAnswer().status(), 100);
+    caller.send("body");
+
+    // [THEN] The endpoint gets the request without the expectation
+    RawPeer upstream = this->first.accept();
+    EXPECT_EQ(upstream.readRequestHead().field("Expect"), "");
+    EXPECT_TRUE(upstream.readUntil("body"));
+    upstream.send("HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(caller.readAnswer().status(), 201);
+}
+
+TEST_F(Forwarding_Tests, ExpectContinue_Refused_BodyIsNotAskedFor)
+{
+    // [GIVEN] A workspace over its rate
+    this->call([this] { this->admission.isOpen = false; });
+
+    // [WHEN] A caller waits before it sends its body
+    RawPeer caller = this->sendNew("POST /book/1", "Content-Length: 4\r\nExpect: 100-continue\r\n");
+
+    // [THEN] It gets the refusal in place of the interim answer
+    const WireMessage answer = caller.readAnswer();
+    EXPECT_EQ(answer.status(), 429);
+    EXPECT_EQ(answer.field("Damaskgate-Verdict"), "not-run");
+    EXPECT_EQ(answer.field("Retry-After"), "1");
+    EXPECT_EQ(answer.field("Connection"), "close");
+    EXPECT_FALSE(this->first.hasPending());
+}
+
+TEST_F(Forwarding_Tests, Answer_Interim_IsNotPassedOn)
+{
+    // [GIVEN] An endpoint that sends interim answers
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+
+    // [THEN] The caller gets the final one
+    EXPECT_EQ(caller.readAnswer().status(), 200);
+}
+
+TEST_F(Forwarding_Tests, Answer_UntilClose_IsDelimitedForTheCaller)
+{
+    // [GIVEN] An endpoint that ends its answer by closing
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 200 OK\r\n\r\nall of it");
+    upstream.close();
+
+    // [THEN] The caller gets it in chunks and keeps its connection
+    const WireMessage answer = caller.readAnswer();
+    EXPECT_EQ(answer.field("Transfer-Encoding"), "chunked");
+    EXPECT_EQ(answer.body, "all of it");
+    EXPECT_TRUE(answer.isWhole);
+}
+
+TEST_F(Forwarding_Tests, Answer_OldCaller_GetsNoChunks)
+{
+    // [GIVEN] A caller that speaks HTTP/1.0
+    RawPeer caller = this->connect();
+    caller.send("GET /read/1 HTTP/1.0\r\nDamaskgate-Key: dgk-key-1\r\n\r\n");
+    RawPeer upstream = this->first.accept();
+    EXPECT_EQ(upstream.readRequestHead().field("Host"), "bokun");
+    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+
+    // [THEN] Its answer ends with the connection
+    const WireMessage answer = caller.readAnswer();
+    EXPECT_EQ(answer.field("Transfer-Encoding"), "");
+    EXPECT_EQ(answer.field("Connection"), "close");
+    EXPECT_EQ(answer.body, "ok");
+    EXPECT_TRUE(caller.isClosedByPeer());
+}
+
+TEST_F(Forwarding_Tests, Answer_Early_ReachesTheCallerBeforeItsBodyEnds)
+{
+    // [GIVEN] A caller in the middle of a large body
+    RawPeer caller = this->sendNew("POST /read/1", "Content-Length: 10000000\r\n");
+    caller.send(std::string(100000, 'x'));
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+
+    // [WHEN] The endpoint answers without waiting for the rest
+    upstream.send("HTTP/1.1 413 Payload Too Large\r\nContent-Length: 3\r\n\r\nbig");
+
+    // [THEN] The caller gets the answer; neither connection is used again
+    const WireMessage answer = caller.readAnswer();
+    EXPECT_EQ(answer.status(), 413);
+    EXPECT_EQ(answer.body, "big");
+    EXPECT_EQ(answer.field("Connection"), "close");
+    EXPECT_TRUE(caller.isClosedByPeer());
+}
+
+TEST_F(Forwarding_Tests, Streaming_BothWays_PartsPassBeforeTheEnd)
+{
+    // [GIVEN] A request in chunks that has not ended, and an endpoint that answers part by part
+    RawPeer caller = this->sendNew("POST /read/1", "Transfer-Encoding: chunked\r\n");
+    const std::string large(20000, 'x');
+    caller.send("4e20\r\n" + large + "\r\n");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+
+    // [THEN] Each part arrives while the other side is still sending
+    EXPECT_TRUE(caller.readUntil("1\r\na\r\n"));
+    caller.send("3\r\nmid\r\n");
+    EXPECT_TRUE(upstream.readUntil("3\r\nmid\r\n"));
+    upstream.send("1\r\nb\r\n");
+    EXPECT_TRUE(caller.readUntil("1\r\nb\r\n"));
+    caller.send("0\r\n\r\n");
+    EXPECT_TRUE(upstream.readUntil("0\r\n\r\n"));
+    upstream.send("0\r\n\r\n");
+    EXPECT_TRUE(caller.readUntil("0\r\n\r\n"));
+}
+
+TEST_F(Forwarding_Tests, Streaming_EndpointDoesNotRead_CallerIsHeldBack)
+{
+    // [GIVEN] An endpoint that stops reading
+    constexpr std::size_t Total = 256U << 20U;
+    constexpr std::size_t Bound = 64U << 20U;
+    RawPeer caller =
+        this->sendNew("POST /read/1", "Content-Length: " + std::to_string(Total) + "\r\n");
+
+    // [WHEN] The caller sends as much as is taken
+    const std::size_t sent = caller.sendUntilBlocked(Total);
+
+    // [THEN] It is held back once the buffers of the sockets are full
+    EXPECT_LT(sent, Bound);
+    EXPECT_GT(sent, 16384);
+    RawPeer upstream = this->first.accept();
+}
+
+TEST_F(Forwarding_Tests, Streaming_CallerDoesNotRead_EndpointIsHeldBack)
+{
+    // [GIVEN] A caller that does not read its answer
+    constexpr std::size_t Total = 256U << 20U;
+    constexpr std::size_t Bound = 64U << 20U;
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Total) + "\r\n\r\n");
+
+    // [WHEN] The endpoint sends as much as is taken
+    const std::size_t sent = upstream.sendUntilBlocked(Total);
+
+    // [THEN] It is held back once the buffers of the sockets are full
+    EXPECT_LT(sent, Bound);
+    EXPECT_GT(sent, 16384);
+}
--- /dev/null
+++ b/src/routing/tests/routeindex_test.cpp
@@ -0,0 +1,163 @@
+#include "damaskgate/routing/routeindex.h"
+
+#include <memory>
+#include <string_view>
+
+#include <gtest/gtest.h>
+
+#include "damaskgate/routing/routetable.h"
+
+using namespace damaskgate;
+
+namespace {
+
+void addRoute(settings::Settings &settings, const char *name, const char *prefix,
+              std::vector<std::string> methods = {})
+{
+    settings::Route route;
+    route.name = core::RouteName(name);
+    route.pathPrefix = prefix;
+    route.methods = std::move(methods);
+    settings.routes[route.name] = route;
+}
+
+void addWorkspace(settings::Settings &settings, const char *name, std::vector<const char *> keys)
+{
+    settings::Workspace workspace;
+    workspace.name = core::WorkspaceName(name);
+    for (const char *key : keys) {
+        workspace.keyHashes.push_back(core::sha256(key));
+    }
+    settings.workspaces[workspace.name] = workspace;
+}
+
+std::shared_ptr<settings::Settings> makeSettings()
+{
+    auto settings = std::make_shared<settings::Settings>();
+    addRoute(*settings, "halls", "/halls");
+    addRoute(*settings, "rooms", "/halls/rooms/");
+    addRoute(*settings, "read", "/classes", { "GET", "HEAD" });
+    addRoute(*settings, "book", "/classes", { "POST" });
+    addWorkspace(*settings, "parents", { "key-1", "key-2" });
+    addWorkspace(*settings, "schools", { "key-3" });
+    return settings;
+}
+
+struct RouteCase
+{
+    std::string_view path;
+    std::string_view method;
+    std::string_view route; //!< empty: none
+};
+
+constexpr RouteCase RouteCases[] {
+    { "/halls", "GET", "halls" },
+    { "/halls/", "GET", "halls" },
+    { "/halls/7", "GET", "halls" },
+    { "/hallsx", "GET", "" },
+    { "/halls/rooms", "GET", "rooms" },
+    { "/halls/rooms/1/2", "GET", "rooms" },
+    { "/halls/roomsx", "GET", "halls" },
+    { "/classes/1", "GET", "read" },
+    { "/classes/1", "POST", "book" },
+    { "/classes/1", "DELETE", "" },
+    { "/classes", "get", "" },
+    { "/", "GET", "" },
+    { "/other", "GET", "" },
+};
+
+class StoreStub final : public settings::ISettingsStore
+{
+public:
+    settings::SettingsPtr current() const override
+    {
+        return this->settings;
+    }
+
+    void addListener(Listener listener) override
+    {
+        this->listeners.push_back(std::move(listener));
+    }
+
+    void replace(settings::SettingsPtr next)
+    {
+        this->settings = std::move(next);
+        for (const Listener &listener : this->listeners) {
+            listener(this->settings);
+        }
+    }
+
+private:
+    settings::SettingsPtr settings;
+    std::vector<Listener> listeners;
+};
+
+} // namespace
+
+TEST(RouteIndex_Tests, FindRoute_Paths_LongestPrefixOnSegmentsWins)
+{
+    // [GIVEN] Routes with prefixes within each other
+    const routing::RouteIndex index(makeSettings());
+    for (const RouteCase &item : RouteCases) {
+        SCOPED_TRACE(std::string(item.method) + " " + std::string(item.path));
+
+        // [WHEN] A request is routed
+        const auto route = index.findRoute(item.path, item.method);
+
+        // [THEN] The longest prefix with the method wins
+        EXPECT_EQ(route ? (*route)->name.text() : "", item.route);
+    }
+}
+
+TEST(RouteIndex_Tests, FindRoute_RootPrefix_TakesTheRest)
+{
+    // [GIVEN] A route for everything
+    auto settings = makeSettings();
+    addRoute(*settings, "all", "/");
+    const routing::RouteIndex index(settings);
+
+    // [THEN] It takes what no other route takes
+    EXPECT_EQ((*index.findRoute("/", "GET"))->name.text(), "all");
+    EXPECT_EQ((*index.findRoute("/other/x", "GET"))->name.text(), "all");
+    EXPECT_EQ((*index.findRoute("/halls", "GET"))->name.text(), "halls");
+}
+
+TEST(RouteIndex_Tests, FindWorkspace_Keys_OnlyThoseInForce)
+{
+    // [GIVEN] Workspaces with keys
+    const routing::RouteIndex index(makeSettings());
+
+    // [THEN] Each key in force leads to its workspace, any other is refused
+    EXPECT_EQ((*index.findWorkspace("key-2"))->name.text(), "parents");
+    EXPECT_EQ((*index.findWorkspace("key-3"))->name.text(), "schools");
+    EXPECT_EQ(index.findWorkspace("key-4").error().reason, core::Reason::KeyUnknown);
+    EXPECT_EQ(index.findWorkspace("").error().reason, core::Reason::KeyMissing);
+}
+
+TEST(RouteIndex_Tests, FindRoute_NoSettings_KnowsNone)
+{
+    // [GIVEN] An entry that has accepted no settings yet
+    const routing::RouteIndex index(nullptr);
+
+    // [THEN] Nothing is routed
+    EXPECT_FALSE(index.findRoute("/halls", "GET"));
+    EXPECT_FALSE(index.findWorkspace("key-1"));
+}
+
+TEST(RouteTable_Tests, Current_KeyWithdrawn_NewIndexAndOldStaysWhole)
+{
+    // [GIVEN] A table that follows a store
+    StoreStub store;
+    const routing::RouteTable table(store);
+    store.replace(makeSettings());
+    const auto before = table.current();
+
+    // [WHEN] New settings without a key come into force
+    auto next = makeSettings();
+    next->workspaces[core::WorkspaceName("parents")].keyHashes.clear();
+    store.replace(next);
+
+    // [THEN] The key stops working; a request that holds the old index still reads it
+    EXPECT_FALSE(table.current()->findWorkspace("key-1"));
+    EXPECT_TRUE(before->findWorkspace("key-1"));
+}
