--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "damaskgate/limits/limiterservice.h"
 #include "damaskgate/metrics/operatorserver.h"
 #include "damaskgate/metrics/registry.h"
 #include "damaskgate/peer/incarnation.h"
@@ -22,7 +23,6 @@
 #include "controlplane.h"
 #include "dataplane.h"
 #include "functionpart.h"
-#include "openadmission.h"
 
 namespace damaskgate::daemon {
 
@@ -59,7 +59,7 @@
     metrics::Registry registry;
     ServingGate gate;
     ControlPlane control;
-    OpenAdmission admission;
+    limits::LimiterService limiter;
     DataPlane data;
     metrics::OperatorServer operatorServer;
     supervise::AsioScheduler scheduler;
@@ -75,8 +75,11 @@
       events(timeline::EventLogOptions { host.name, this->incarnation, commandLine.logFile }),
       gate(this->clock),
       control({ this->context, this->clock, this->events, this->gate }, host, this->incarnation),
+      limiter(lease::HolderId { host.name, this->incarnation }, this->control.leases(), this->clock,
+              this->control.network(), this->events,
+              [this](std::function<void()> task) { this->data.post(std::move(task)); }),
       data({ this->clock, this->control.settingsStore(), this->events, this->registry, this->gate,
-             this->admission },
+             this->limiter },
            host, this->incarnation),
       operatorServer(this->context, this->registry), scheduler(this->context),
       root({ "root", supervise::Strategy::RestForOne, {} }, this->scheduler, this->clock,
@@ -89,8 +92,14 @@
 
 void Daemon::Impl::connectParts()
 {
-    this->control.settingsStore().addListener(
-        [this](const settings::SettingsPtr &settings) { this->data.applySettings(settings); });
+    this->control.settingsStore().addListener([this](const settings::SettingsPtr &settings) {
+        this->data.applySettings(settings);
+        this->limiter.applySettings(settings);
+    });
+    this->data.addTickTask([this] { this->limiter.tick(); });
+    this->data.lookup().setHomeFinder([this](const core::WorkspaceName &workspace) {
+        return this->control.leases().homes(limits::partitionOf(workspace));
+    });
     this->control.setLiveHostsListener(
         [this](std::vector<settings::Host> hosts) { this->data.applyLiveHosts(std::move(hosts)); });
     this->operatorServer.addStatus("settings", [this] { return this->describeSettings(); });
--- a/src/daemon/dataplane.cpp
+++ b/src/daemon/dataplane.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TickPeriod { 10 };
+constexpr std::chrono::milliseconds TickPeriod { 5 };
 
 entry::EntryOptions optionsFor(const settings::HostSettings &host, std::uint64_t incarnation)
 {
