--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -71,6 +71,9 @@
         co_return false;
     }
     const auto headerSize = co_await this->receiveHeader();
+    if (!headerSize && this->connection->buffer.size() == 0) {
+        co_return false;
+    }
     if (!headerSize) {
         const bool isTooLarge =
             this->connection->buffer.size() >= this->context.options.maxHeaderBytes;
@@ -138,9 +141,6 @@
 
 asio::awaitable<bool> CallerSession::refuseHeader(const core::Error &error, int status)
 {
-    if (this->connection->buffer.size() == 0) {
-        co_return false;
-    }
     const std::string message = toMessage({ error, status, {}, {}, true, false });
     co_await this->connection->write(message);
     RequestRecord record;
