--- a/src/lease/include/damaskgate/lease/leasetypes.h
+++ b/src/lease/include/damaskgate/lease/leasetypes.h
@@ -23,8 +23,8 @@
 /** Times of the lease protocol; equal on every host. */
 struct LeasePolicy
 {
-    core::Duration leaseTime = std::chrono::milliseconds(3000); //!< counted from the request
-    core::Duration renewInterval = std::chrono::milliseconds(1000);
+    core::Duration leaseTime = std::chrono::milliseconds(2000); //!< counted from the request
+    core::Duration renewInterval = std::chrono::milliseconds(600);
     core::Duration retryInterval = std::chrono::milliseconds(150); //!< while another host holds
     core::Duration rankDelay = std::chrono::milliseconds(300); //!< for each better-ranked host
     core::Duration demandTime = std::chrono::seconds(10); //!< how long a demand is remembered
--- a/src/lease/roster.cpp
+++ b/src/lease/roster.cpp
@@ -102,7 +102,13 @@
 
 PartitionId partitionOf(std::string_view key)
 {
-    return static_cast<PartitionId>(core::hash64(key) % PartitionCount);
+    // FNV-1a: this runs for every request, and no adversary chooses the keys.
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char character : key) {
+        hash ^= static_cast<unsigned char>(character);
+        hash *= 0x100000001b3ULL;
+    }
+    return static_cast<PartitionId>(mix(hash) % PartitionCount);
 }
 
 Roster::Roster(std::uint64_t revision, std::span<const RosterHost> hosts,
