--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -19,6 +19,7 @@
 def run(deployment):
     print("starting: platform, 6 upstream endpoints, 4 entry hosts in 3 failure domains")
     deployment.start()
+    deployment.wait_until_admitted("schools", "nor-01", "/timetable/today")
 
     answer = deployment.look_up("nor-01", "schools")
     names = ", ".join(entry["host"] for entry in answer["entries"])
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -106,6 +106,16 @@
                     raise StartError(f"{host} does not serve: {self.log_tail(host)}")
                 time.sleep(0.05)
 
+    def wait_until_admitted(self, workspace, host, path):
+        """Waits until a host of a new fleet holds the rate of a workspace: one lease time."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        settings = self.hosts[host]
+        headers = self.key_headers(workspace)
+        while call(settings["address"], settings["callerPort"], "GET", path, headers)[0] != 200:
+            if time.monotonic() > deadline:
+                raise StartError(f"{workspace} is not admitted: {self.log_tail(host)}")
+            time.sleep(0.1)
+
     def is_serving(self, settings):
         try:
             status, _, body = call(settings["address"], settings["callerPort"], "GET",
