--- a/tests/search/tests/fleetsimulation_test.cpp
+++ b/tests/search/tests/fleetsimulation_test.cpp
@@ -21,6 +21,11 @@
     std::uint64_t firstSeed;
 };
 
+std::ostream &operator<<(std::ostream &stream, const GuardCase &row)
+{
+    return stream << row.name;
+}
+
 class GuardTests : public testing::TestWithParam<GuardCase>
 {};
 
