limits: keep an ended bucket until its release has been handled

Found by the test of three services: the periodic removal could run between the end of a holding on the control thread and its release on the data thread. Then the tokens were not handed over and, worse, the release did not wait for lent tokens. An ended bucket now stays for one more pass.

--- a/src/limits/include/damaskgate/limits/limitermachine.h
+++ b/src/limits/include/damaskgate/limits/limitermachine.h
@@ -94,6 +94,7 @@
         std::uint32_t epoch = 0;
         bool hasHandover = false;
         std::deque<Waiter> waiters;
+        bool isEnded = false; //!< its holding had ended when that was last looked at
     };
 
     struct PendingHandover
--- a/src/limits/limitermachine.cpp
+++ b/src/limits/limitermachine.cpp
@@ -423,7 +423,8 @@
 {
     const auto holding = this->leases.holding(partitionOf(workspace), now);
     if (!holding || holding->epoch != bucket.epoch) {
-        return true;
+        //! NOTE onReleasing() may still come for a holding that was just given up.
+        return std::exchange(bucket.isEnded, true);
     }
     const settings::Workspace *known = this->find(workspace);
     if (known == nullptr || !bucket.waiters.empty() || !bucket.tokens.isIdle(now)) {
@@ -473,7 +474,7 @@
     auto &bucket =
         this->buckets
             .emplace(workspace.name,
-                     Bucket { std::move(tokens), holding.epoch, false, std::move(waiters) })
+                     Bucket { std::move(tokens), holding.epoch, false, std::move(waiters), false })
             .first->second;
     const auto handover = this->handovers.find(workspace.name);
     if (handover != this->handovers.end()) {
