--- a/src/peer/include/damaskgate/peer/udppeernetwork.h
+++ b/src/peer/include/damaskgate/peer/udppeernetwork.h
@@ -33,6 +33,15 @@
     std::string secret; //!< of the fleet
 };
 
+/** Datagrams of one process since its start. */
+struct PeerTraffic
+{
+    std::uint64_t sentDatagrams = 0;
+    std::uint64_t sentBytes = 0; //!< without the headers of IP and UDP
+    std::uint64_t receivedDatagrams = 0;
+    std::uint64_t receivedBytes = 0; //!< also of datagrams that were rejected
+};
+
 /** IPeerNetwork over UDP. send() may be called from any thread, the rest from the executor. */
 class UdpPeerNetwork final : public IPeerNetwork
 {
@@ -59,6 +68,9 @@
     /** Installs @p fault, which outlives this; null removes it. */
     void setFault(IDatagramFault *fault);
 
+    /** @return what was sent and received. Safe to call from any thread. */
+    PeerTraffic traffic() const;
+
     void send(const core::HostName &to, MessageKind kind,
               std::span<const std::byte> payload) override;
     void setHandler(MessageKind kind, Handler handler) override;
--- a/src/peer/tests/udppeernetwork_test.cpp
+++ b/src/peer/tests/udppeernetwork_test.cpp
@@ -92,3 +92,20 @@
     ASSERT_EQ(this->received.size(), 1U);
     EXPECT_EQ(this->received[0].payload.size(), 1U);
 }
+
+TEST_F(UdpPeerNetworkTests, Traffic_OneDatagram_IsCountedAtBothEnds)
+{
+    // [WHEN] A payload arrives and another one is too large to be sent
+    this->sender.send(Second, MessageKind::Lease, std::vector<std::byte>(MaxPayloadBytes + 1));
+    this->sender.send(Second, MessageKind::Lease, Payload);
+    this->context.run();
+
+    // [THEN] Both ends have counted one datagram of the same size
+    const PeerTraffic sent = this->sender.traffic();
+    const PeerTraffic arrived = this->receiver.traffic();
+    EXPECT_EQ(sent.sentDatagrams, 1U);
+    EXPECT_EQ(sent.receivedDatagrams, 0U);
+    EXPECT_EQ(arrived.receivedDatagrams, 1U);
+    EXPECT_EQ(arrived.receivedBytes, sent.sentBytes);
+    EXPECT_GT(sent.sentBytes, Payload.size());
+}
--- a/src/peer/udppeernetwork.cpp
+++ b/src/peer/udppeernetwork.cpp
@@ -28,6 +28,7 @@
     void stop();
     void setHosts(std::span<const PeerAddress> hosts);
     void send(const core::HostName &to, MessageKind kind, std::span<const std::byte> payload);
+    PeerTraffic traffic() const;
 
     void setFault(IDatagramFault *newFault)
     {
@@ -42,16 +43,18 @@
 
 private:
     void receiveNext();
+    void countReceived(std::size_t size);
     void onReceived(std::size_t size);
     void reportRejected(std::string_view detail);
     bool isDroppedFrom(const core::HostName &from);
 
     const PeerIdentity identity;
     core::IEventSink &events;
-    std::mutex mutex; //!< guards the socket against use from two threads, and what follows
+    mutable std::mutex mutex; //!< guards the socket against use from two threads, and what follows
     udp::socket socket;
     std::unordered_map<core::HostName, udp::endpoint> endpoints;
     std::uint64_t sent = 0;
+    PeerTraffic counted;
     IDatagramFault *fault = nullptr;
     std::map<MessageKind, Handler> handlers;
     udp::endpoint sender;
@@ -134,6 +137,8 @@
     }
     const std::vector<std::byte> datagram = sealEnvelope(envelope, this->identity.secret);
     const std::lock_guard lock(this->mutex);
+    ++this->counted.sentDatagrams;
+    this->counted.sentBytes += datagram.size();
     //! NOTE A full socket buffer loses the datagram, as the network may.
     boost::system::error_code ignored;
     this->socket.send_to(asio::buffer(datagram.data(), datagram.size()), target, 0, ignored);
@@ -152,12 +157,26 @@
                                             return;
                                         }
                                         if (!error) {
+                                            self->countReceived(size);
                                             self->onReceived(size);
                                         }
                                         self->receiveNext();
                                     });
 }
 
+void UdpPeerNetwork::Impl::countReceived(std::size_t size)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->counted.receivedDatagrams;
+    this->counted.receivedBytes += size;
+}
+
+PeerTraffic UdpPeerNetwork::Impl::traffic() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->counted;
+}
+
 void UdpPeerNetwork::Impl::onReceived(std::size_t size)
 {
     auto envelope = openEnvelope(std::span(this->buffer).first(size), this->identity.secret,
@@ -220,6 +239,11 @@
     this->impl->setFault(fault);
 }
 
+PeerTraffic UdpPeerNetwork::traffic() const
+{
+    return this->impl->traffic();
+}
+
 void UdpPeerNetwork::send(const core::HostName &to, MessageKind kind,
                           std::span<const std::byte> payload)
 {
