--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -112,6 +112,11 @@
     return this->peers;
 }
 
+const peer::UdpPeerNetwork &ControlPlane::network() const
+{
+    return this->peers;
+}
+
 const membership::MembershipService &ControlPlane::membership() const
 {
     return this->members;
--- a/src/daemon/controlplane.h
+++ b/src/daemon/controlplane.h
@@ -56,6 +56,7 @@
     settings::SettingsStore &settingsStore();
     lease::LeaseService &leases();
     peer::UdpPeerNetwork &network();
+    const peer::UdpPeerNetwork &network() const;
     const membership::MembershipService &membership() const;
 
     void onHostList(const std::vector<platform::ListedHost> &hosts) override;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -49,6 +49,7 @@
     void finish(ExitCode code);
     nlohmann::json describeSettings() const;
     nlohmann::json describeMembers() const;
+    nlohmann::json describeTraffic() const;
     nlohmann::json describeParts() const;
 
     settings::HostSettings host;
@@ -95,6 +96,7 @@
         [this](std::vector<settings::Host> hosts) { this->data.applyLiveHosts(std::move(hosts)); });
     this->operatorServer.addStatus("settings", [this] { return this->describeSettings(); });
     this->operatorServer.addStatus("members", [this] { return this->describeMembers(); });
+    this->operatorServer.addStatus("traffic", [this] { return this->describeTraffic(); });
     this->operatorServer.addStatus("parts", [this] { return this->describeParts(); });
     this->operatorServer.setEvents(
         [this](std::size_t limit) { return this->events.latest(limit); });
@@ -226,6 +228,15 @@
     return { { "live", live } };
 }
 
+nlohmann::json Daemon::Impl::describeTraffic() const
+{
+    const peer::PeerTraffic traffic = this->control.network().traffic();
+    return { { "sent_datagrams", traffic.sentDatagrams },
+             { "sent_bytes", traffic.sentBytes },
+             { "received_datagrams", traffic.receivedDatagrams },
+             { "received_bytes", traffic.receivedBytes } };
+}
+
 nlohmann::json Daemon::Impl::describeParts() const
 {
     nlohmann::json parts = nlohmann::json::array();
