--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -37,7 +37,7 @@
     def __init__(self, example, binaries=ROOT / "build" / "release" / "bin"):
         self.example = ROOT / "examples" / example
         self.binaries = pathlib.Path(binaries)
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"damaskgate-{example}-"))
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"damaskgate-{self.example.name}-"))
         self.published = self.folder / "published"
         self.revision = 0
         self.processes = {}
