health, balance: holdings of the lease are told apart, not ordered

Lease epochs count per process, so the highest is not the newest owner. The time fences keep the bounds without an order. The view test for older epochs now checks older news of one holding (revision), which the same-report case needs.

--- a/src/balance/coldlease.cpp
+++ b/src/balance/coldlease.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t EndpointsPerRequest = 8; //!< keeps the datagram below 1,200 bytes
 constexpr std::size_t SentLimit = 64; //!< requests whose answers are still accepted
 constexpr std::uint32_t DoubtfulLimit = 1;
+constexpr std::uint64_t RoundsPerFullReport = 10; //!< other rounds leave out warm endpoints
 constexpr std::chrono::seconds ConfirmedTime { 2 }; //!< for which a sign of being warm is good
 
 } // namespace
@@ -95,7 +96,13 @@
                         const std::function<Counts(const core::EndpointName &)> &counts)
 {
     std::vector<SlotRequest> requests;
+    const bool isFull = this->round++ % RoundsPerFullReport == 0;
     for (const auto &[endpoint, state] : this->states) {
+        const bool isSettled =
+            state.temperature == Temperature::Warm && state.changedAt <= state.appliedSequence;
+        if (this->ramp == core::Duration::zero() || (isSettled && !isFull)) {
+            continue;
+        }
         if (requests.empty() || requests.back().endpoints.size() == EndpointsPerRequest) {
             requests.push_back({ service, ++this->sequence, {} });
             this->sent.push_back({ this->sequence, now });
@@ -103,7 +110,7 @@
         const Counts count = counts(endpoint);
         const std::uint32_t quota = now < state.quotaEnd ? state.quota : 0;
         requests.back().endpoints.push_back(
-            { endpoint, state.temperature, state.servedFor, state.incarnation, state.appliedEpoch,
+            { endpoint, state.temperature, state.servedFor, state.incarnation, state.appliedHolding,
               state.appliedSequence, quota, count.inFlight, count.wanted });
     }
     while (this->sent.size() > SentLimit) {
@@ -115,16 +122,15 @@
 void ColdLease::onAnswer(const SlotAnswer &answer, core::Instant now)
 {
     const auto request = std::ranges::find(this->sent, answer.sequence, &Sent::sequence);
-    if (request == this->sent.end() || answer.epoch < this->epoch) {
+    if (request == this->sent.end()) {
         return;
     }
-    this->epoch = answer.epoch;
     for (const EndpointQuota &quota : answer.endpoints) {
-        this->applyQuota(quota, answer.epoch, *request, now);
+        this->applyQuota(quota, answer.holding, *request, now);
     }
 }
 
-void ColdLease::applyQuota(const EndpointQuota &quota, std::uint64_t answerEpoch,
+void ColdLease::applyQuota(const EndpointQuota &quota, std::uint64_t answerHolding,
                            const Sent &request, core::Instant now)
 {
     const auto found = this->states.find(quota.endpoint);
@@ -132,11 +138,14 @@
         return;
     }
     State &state = found->second;
+    const bool isDowngrade = quota.temperature == Temperature::Cold && quota.quota == 0
+        && request.sequence == state.appliedSequence;
+    const bool isNew = request.sequence > state.appliedSequence;
     //! NOTE an answer to a request that did not yet tell the latest change must not undo it
-    if (request.sequence <= state.appliedSequence || request.sequence < state.changedAt) {
+    if ((!isNew && !isDowngrade) || request.sequence < state.changedAt) {
         return;
     }
-    state.appliedEpoch = answerEpoch;
+    state.appliedHolding = answerHolding;
     state.appliedSequence = request.sequence;
     if (quota.temperature != Temperature::Unknown) {
         state.temperature = quota.temperature;
--- a/src/balance/coldlease.h
+++ b/src/balance/coldlease.h
@@ -76,7 +76,7 @@
         core::Duration servedFor {};
         std::uint64_t incarnation = 0;
         std::uint64_t changedAt = 0; //!< sequence from which requests tell the latest change
-        std::uint64_t appliedEpoch = 0;
+        std::uint64_t appliedHolding = 0;
         std::uint64_t appliedSequence = 0;
         std::uint32_t quota = 0;
         core::Instant quotaEnd;
@@ -90,12 +90,12 @@
     };
 
     void change(State &state, Temperature temperature);
-    void applyQuota(const EndpointQuota &quota, std::uint64_t answerEpoch, const Sent &request,
+    void applyQuota(const EndpointQuota &quota, std::uint64_t answerHolding, const Sent &request,
                     core::Instant now);
 
     core::Duration ramp {};
     std::uint64_t sequence = 0;
-    std::uint64_t epoch = 0;
+    std::uint64_t round = 0;
     std::deque<Sent> sent;
     std::map<core::EndpointName, State> states;
 };
--- a/src/balance/coldledger.cpp
+++ b/src/balance/coldledger.cpp
@@ -32,8 +32,8 @@
 
 } // namespace
 
-ColdLedger::ColdLedger(std::uint64_t epoch, core::Instant ownedSince)
-    : epoch(epoch), ownedSince(ownedSince)
+ColdLedger::ColdLedger(std::uint64_t holding, core::Instant ownedSince)
+    : holding(holding), ownedSince(ownedSince)
 {}
 
 void ColdLedger::applySettings(const settings::Settings &settings, const settings::Service &service,
@@ -66,7 +66,7 @@
 SlotAnswer ColdLedger::onRequest(const core::HostName &host, std::uint64_t incarnation,
                                  const SlotRequest &request, core::Instant now)
 {
-    SlotAnswer answer { request.service, this->epoch, request.sequence, {} };
+    SlotAnswer answer { request.service, this->holding, request.sequence, {} };
     const HostKey key { host, incarnation };
     for (const EndpointUse &use : request.endpoints) {
         const auto found = this->states.find(use.endpoint);
@@ -94,11 +94,12 @@
     loan.lastSequence = sequence;
     loan.told = std::max(use.inFlight, use.quota);
     loan.toldEnd = now + GrantTime + GrantDriftMargin + this->exchangeLimit;
-    loan.isHeard = loan.isHeard || use.appliedEpoch == this->epoch;
     loan.isWarm = use.temperature == Temperature::Warm || use.temperature == Temperature::Doubtful;
     loan.heardAt = now;
-    if (use.appliedEpoch == this->epoch) {
+    if (use.appliedHolding == this->holding) {
         loan.appliedSequence = use.appliedSequence;
+        loan.isHeard = loan.isHeard
+            || (loan.settledSequence != 0 && use.appliedSequence >= loan.settledSequence);
         std::erase_if(loan.grants,
                       [&use](const Grant &grant) { return grant.sequence <= use.appliedSequence; });
     }
@@ -162,6 +163,7 @@
     state.changedAt = now;
     state.servedFor = servedFor;
     state.servedUntil = now;
+    state.isUnannounced = true;
     state.doubts.clear();
 }
 
@@ -260,6 +262,9 @@
 void ColdLedger::remember(Loan &loan, Temperature temperature, std::uint32_t quota,
                           core::Instant now) const
 {
+    if (loan.settledSequence == 0 && now >= this->ownedSince + GrantTime + GrantDriftMargin) {
+        loan.settledSequence = loan.lastSequence;
+    }
     if (temperature == Temperature::Warm) {
         loan.warmSequence = loan.lastSequence;
     }
@@ -293,6 +298,23 @@
     return std::min({ wanted, room, share });
 }
 
+std::map<core::HostName, std::vector<SlotAnswer>>
+ColdLedger::takeNews(const core::ServiceName &service)
+{
+    std::map<core::HostName, std::vector<SlotAnswer>> news;
+    for (auto &[endpoint, state] : this->states) {
+        if (!state.isUnannounced) {
+            continue;
+        }
+        state.isUnannounced = false;
+        for (const auto &[host, loan] : state.loans) {
+            const EndpointQuota quota { endpoint, Temperature::Cold, state.servedFor, 0 };
+            news[host.first].push_back({ service, this->holding, loan.lastSequence, { quota } });
+        }
+    }
+    return news;
+}
+
 void ColdLedger::onReadmitted(const core::EndpointName &endpoint, core::Instant now)
 {
     const auto found = this->states.find(endpoint);
--- a/src/balance/include/damaskgate/balance/coldledger.h
+++ b/src/balance/include/damaskgate/balance/coldledger.h
@@ -25,10 +25,10 @@
 {
 public:
     /**
-     * @param epoch of the owner's lease
+     * @param holding of the owner's lease
      * @param ownedSince when this host became the owner
      */
-    ColdLedger(std::uint64_t epoch, core::Instant ownedSince);
+    ColdLedger(std::uint64_t holding, core::Instant ownedSince);
 
     /** Endpoints that appear after the first call are cold. */
     void applySettings(const settings::Settings &settings, const settings::Service &service,
@@ -44,6 +44,13 @@
     SlotAnswer onRequest(const core::HostName &host, std::uint64_t incarnation,
                          const SlotRequest &request, core::Instant now);
 
+    /**
+     * Tells hosts that still take an endpoint for warm that it is cold.
+     *
+     * @return answers to the latest requests of all hosts, once for each change
+     */
+    std::map<core::HostName, std::vector<SlotAnswer>> takeNews(const core::ServiceName &service);
+
     /** @p endpoint goes into service after an ejection. */
     void onReadmitted(const core::EndpointName &endpoint, core::Instant now);
 
@@ -72,6 +79,7 @@
         bool isWarm = false; //!< by its latest request, uses the endpoint as a warm one
         std::uint64_t warmSequence = 0; //!< latest request that was answered with Warm
         std::uint64_t appliedSequence = 0;
+        std::uint64_t settledSequence = 0; //!< first answered after the predecessor's grants ended
         bool isWaiting = false;
         core::Instant heardAt;
         core::Instant heldSince; //!< of a quota above zero
@@ -90,6 +98,7 @@
         bool hasWarmClaim = false;
         bool hasColdClaim = false;
         core::Duration claimedServedFor {};
+        bool isUnannounced = false; //!< has turned cold since the last takeNews()
     };
 
     void count(Loan &loan, const EndpointUse &use, std::uint64_t sequence, core::Instant now) const;
@@ -110,7 +119,7 @@
     std::uint32_t limit(const State &state) const;
     static std::uint32_t outstanding(const Loan &loan, core::Instant now);
 
-    std::uint64_t epoch;
+    std::uint64_t holding;
     core::Instant ownedSince;
     std::uint32_t slots = 1;
     core::Duration ramp {};
--- a/src/balance/include/damaskgate/balance/slotmessages.h
+++ b/src/balance/include/damaskgate/balance/slotmessages.h
@@ -23,7 +23,7 @@
     Temperature temperature = Temperature::Unknown;
     core::Duration servedFor {}; //!< time that a cold endpoint has served, as last told
     std::uint64_t incarnation = 0; //!< of the endpoint, from its answers; zero when not known
-    std::uint64_t appliedEpoch = 0; //!< of the owner whose grant is in force
+    std::uint64_t appliedHolding = 0; //!< of the owner whose grant is in force
     std::uint64_t appliedSequence = 0; //!< request that the grant in force answered
     std::uint32_t quota = 0; //!< requests that may be in flight under the grant in force
     std::uint32_t inFlight = 0;
@@ -50,7 +50,7 @@
 struct SlotAnswer
 {
     core::ServiceName service;
-    std::uint64_t epoch = 0; //!< of the owner's lease
+    std::uint64_t holding = 0; //!< tells the holdings of the lease apart; not ordered
     std::uint64_t sequence = 0; //!< of the request
     std::vector<EndpointQuota> endpoints;
 };
--- a/src/health/ejectionview.cpp
+++ b/src/health/ejectionview.cpp
@@ -25,10 +25,11 @@
     if (report == this->sent.end() || report->at + EjectionTime <= now) {
         return;
     }
-    if (news.epoch < this->epoch || news.sequence < this->answered) {
+    const bool isSameReport = news.sequence == this->answered;
+    if (news.sequence < this->answered || (isSameReport && news.revision < this->revision)) {
         return;
     }
-    this->epoch = news.epoch;
+    this->revision = news.revision;
     this->answered = news.sequence;
     this->end = report->at + EjectionTime;
     this->endpoints = news.ejected;
--- a/src/health/include/damaskgate/health/ejectionview.h
+++ b/src/health/include/damaskgate/health/ejectionview.h
@@ -22,7 +22,7 @@
     /** A report with @p sequence is sent; its answer is in force for EjectionTime from now. */
     void onReportSent(std::uint64_t sequence, core::Instant now);
 
-    /** Applies @p news; older epochs, older answers and expired ones are ignored. */
+    /** Applies @p news; answers to older reports and expired ones are ignored. */
     void onNews(const EjectionNews &news, core::Instant now);
 
     /** @return the endpoints not to be used, never more than the floor of this host allows. */
@@ -37,8 +37,8 @@
 
     Floor floor;
     std::deque<Sent> sent;
-    std::uint64_t epoch = 0;
     std::uint64_t answered = 0;
+    std::uint64_t revision = 0; //!< of the latest answer to this report
     core::Instant end;
     std::vector<core::EndpointName> endpoints;
 };
--- a/src/health/include/damaskgate/health/healthmessages.h
+++ b/src/health/include/damaskgate/health/healthmessages.h
@@ -41,8 +41,9 @@
 struct EjectionNews
 {
     core::ServiceName service;
-    std::uint64_t epoch = 0; //!< of the owner's lease
+    std::uint64_t holding = 0; //!< tells the holdings of the lease apart; not ordered
     std::uint64_t sequence = 0; //!< of the report
+    std::uint64_t revision = 0; //!< rises with each news of one holding
     std::vector<core::EndpointName> ejected; //!< the most certain first
     core::Duration slowLimit {}; //!< latency from which an exchange counts as slow
 };
--- a/src/health/include/damaskgate/health/serviceowner.h
+++ b/src/health/include/damaskgate/health/serviceowner.h
@@ -27,10 +27,10 @@
     };
 
     /**
-     * @param epoch of the owner's lease
+     * @param holding of the owner's lease
      * @param ownedSince when this host became the owner
      */
-    ServiceOwner(const core::ServiceName &service, std::uint64_t epoch, core::Instant ownedSince,
+    ServiceOwner(const core::ServiceName &service, std::uint64_t holding, core::Instant ownedSince,
                  JudgeThresholds thresholds = {});
 
     void applySettings(const settings::Settings &settings);
@@ -59,7 +59,8 @@
     std::vector<Change> takeChanges();
 
     core::ServiceName service;
-    std::uint64_t epoch;
+    std::uint64_t holding;
+    std::uint64_t revision = 0;
     EjectionPlanner planner;
     EndpointJudge judge;
     std::map<core::HostName, core::DomainName> domains;
--- a/src/health/serviceowner.cpp
+++ b/src/health/serviceowner.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-ServiceOwner::ServiceOwner(const core::ServiceName &service, std::uint64_t epoch,
+ServiceOwner::ServiceOwner(const core::ServiceName &service, std::uint64_t holding,
                            core::Instant ownedSince, JudgeThresholds thresholds)
-    : service(service), epoch(epoch), planner(ownedSince), judge(thresholds)
+    : service(service), holding(holding), planner(ownedSince), judge(thresholds)
 {}
 
 void ServiceOwner::applySettings(const settings::Settings &settings)
@@ -56,8 +56,9 @@
 {
     const auto ejected = this->planner.publish(now);
     return { this->service,
-             this->epoch,
+             this->holding,
              sequence,
+             ++this->revision,
              { ejected.begin(), ejected.end() },
              this->judge.slowLimit() };
 }
