--- /dev/null
+++ b/src/balance/slotcodec.cpp
@@ -0,0 +1,139 @@
+#include "slotcodec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include "slot.capnp.h"
+
+namespace damaskgate::balance {
+
+namespace {
+
+constexpr std::uint64_t MaxWordsRead = 4096;
+
+std::uint32_t toMilliseconds(core::Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(count);
+}
+
+core::Result<Temperature> toTemperature(std::uint8_t value)
+{
+    if (value > static_cast<std::uint8_t>(Temperature::Doubtful)) {
+        return core::notRun(core::Reason::BadRequest, "unknown temperature");
+    }
+    return static_cast<Temperature>(value);
+}
+
+void write(wire::Use::Builder builder, const EndpointUse &use)
+{
+    builder.setEndpoint(use.endpoint.text().c_str());
+    builder.setTemperature(static_cast<std::uint8_t>(use.temperature));
+    builder.setServedForMilliseconds(toMilliseconds(use.servedFor));
+    builder.setIncarnation(use.incarnation);
+    builder.setAppliedHolding(use.appliedHolding);
+    builder.setAppliedSequence(use.appliedSequence);
+    builder.setQuota(static_cast<std::uint16_t>(use.quota));
+    builder.setInFlight(static_cast<std::uint16_t>(use.inFlight));
+    builder.setWanted(static_cast<std::uint16_t>(use.wanted));
+}
+
+void write(wire::Quota::Builder builder, const EndpointQuota &quota)
+{
+    builder.setEndpoint(quota.endpoint.text().c_str());
+    builder.setTemperature(static_cast<std::uint8_t>(quota.temperature));
+    builder.setServedForMilliseconds(toMilliseconds(quota.servedFor));
+    builder.setQuota(static_cast<std::uint16_t>(quota.quota));
+}
+
+template <typename List, typename T>
+void writeAll(List list, const std::vector<T> &values)
+{
+    for (unsigned index = 0; index < list.size(); ++index) {
+        write(list[index], values[index]);
+    }
+}
+
+void write(wire::Message::Builder builder, const SlotRequest &request)
+{
+    auto root = builder.initRequest();
+    root.setService(request.service.text().c_str());
+    root.setSequence(request.sequence);
+    writeAll(root.initEndpoints(static_cast<unsigned>(request.endpoints.size())),
+             request.endpoints);
+}
+
+void write(wire::Message::Builder builder, const SlotAnswer &answer)
+{
+    auto root = builder.initAnswer();
+    root.setService(answer.service.text().c_str());
+    root.setHolding(answer.holding);
+    root.setSequence(answer.sequence);
+    writeAll(root.initEndpoints(static_cast<unsigned>(answer.endpoints.size())), answer.endpoints);
+}
+
+core::Result<SlotMessage> read(wire::Request::Reader reader)
+{
+    SlotRequest request { core::ServiceName(reader.getService().cStr()), reader.getSequence(), {} };
+    for (const auto use : reader.getEndpoints()) {
+        const auto temperature = toTemperature(use.getTemperature());
+        if (!temperature) {
+            return tl::unexpected(temperature.error());
+        }
+        request.endpoints.push_back({ core::EndpointName(use.getEndpoint().cStr()), *temperature,
+                                      std::chrono::milliseconds(use.getServedForMilliseconds()),
+                                      use.getIncarnation(), use.getAppliedHolding(),
+                                      use.getAppliedSequence(), use.getQuota(), use.getInFlight(),
+                                      use.getWanted() });
+    }
+    return request;
+}
+
+core::Result<SlotMessage> read(wire::Answer::Reader reader)
+{
+    SlotAnswer answer {
+        core::ServiceName(reader.getService().cStr()), reader.getHolding(), reader.getSequence(), {}
+    };
+    for (const auto quota : reader.getEndpoints()) {
+        const auto temperature = toTemperature(quota.getTemperature());
+        if (!temperature) {
+            return tl::unexpected(temperature.error());
+        }
+        answer.endpoints.push_back({ core::EndpointName(quota.getEndpoint().cStr()), *temperature,
+                                     std::chrono::milliseconds(quota.getServedForMilliseconds()),
+                                     quota.getQuota() });
+    }
+    return answer;
+}
+
+} // namespace
+
+std::vector<std::byte> encode(const SlotMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<wire::Message>();
+    std::visit([&root](const auto &value) { write(root, value); }, message);
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, builder);
+    const auto bytes = stream.getArray();
+    const auto view = std::as_bytes(std::span(bytes.begin(), bytes.size()));
+    return { view.begin(), view.end() };
+}
+
+core::Result<SlotMessage> decode(std::span<const std::byte> payload)
+{
+    try {
+        kj::ArrayInputStream stream(
+            { reinterpret_cast<const kj::byte *>(payload.data()), payload.size() });
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = MaxWordsRead;
+        capnp::PackedMessageReader message(stream, options);
+        const auto root = message.getRoot<wire::Message>();
+        return root.isRequest() ? read(root.getRequest()) : read(root.getAnswer());
+    } catch (const kj::Exception &) {
+        return core::notRun(core::Reason::BadRequest, "malformed slot message");
+    }
+}
+
+} // namespace damaskgate::balance
--- /dev/null
+++ b/src/balance/slotcodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <variant>
+#include <vector>
+
+#include "damaskgate/core/error.h"
+
+#include "damaskgate/balance/slotmessages.h"
+
+namespace damaskgate::balance {
+
+using SlotMessage = std::variant<SlotRequest, SlotAnswer>;
+
+/** @return @p message as the payload of a datagram. */
+std::vector<std::byte> encode(const SlotMessage &message);
+
+/** @return the message; BadRequest when @p payload is malformed. */
+core::Result<SlotMessage> decode(std::span<const std::byte> payload);
+
+} // namespace damaskgate::balance
--- /dev/null
+++ b/src/health/healthcodec.cpp
@@ -0,0 +1,122 @@
+#include "healthcodec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include "health.capnp.h"
+
+namespace damaskgate::health {
+
+namespace {
+
+constexpr std::uint64_t MaxWordsRead = 4096;
+
+std::uint32_t toMicroseconds(core::Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+    return static_cast<std::uint32_t>(count);
+}
+
+void writeEndpoint(wire::Evidence::Builder builder, const EndpointEvidence &evidence)
+{
+    builder.setEndpoint(evidence.endpoint.text().c_str());
+    builder.setAnswered(evidence.answered);
+    builder.setFailed(evidence.failed);
+    builder.setPrompt(evidence.prompt);
+    builder.setSlow(evidence.slow);
+    builder.setEnded(evidence.ended);
+    builder.setBusyMicroseconds(toMicroseconds(evidence.busy));
+}
+
+void write(wire::Message::Builder builder, const EvidenceReport &report)
+{
+    auto root = builder.initReport();
+    root.setService(report.service.text().c_str());
+    root.setSequence(report.sequence);
+    auto endpoints = root.initEndpoints(static_cast<unsigned>(report.endpoints.size()));
+    for (unsigned index = 0; index < endpoints.size(); ++index) {
+        writeEndpoint(endpoints[index], report.endpoints[index]);
+    }
+    auto latencies = root.initLatencies(static_cast<unsigned>(report.latencies.size()));
+    for (unsigned index = 0; index < latencies.size(); ++index) {
+        latencies[index].setBucket(report.latencies[index].bucket);
+        latencies[index].setCount(report.latencies[index].count);
+    }
+}
+
+void write(wire::Message::Builder builder, const EjectionNews &news)
+{
+    auto root = builder.initNews();
+    root.setService(news.service.text().c_str());
+    root.setHolding(news.holding);
+    root.setSequence(news.sequence);
+    root.setRevision(news.revision);
+    root.setSlowLimitMicroseconds(toMicroseconds(news.slowLimit));
+    auto ejected = root.initEjected(static_cast<unsigned>(news.ejected.size()));
+    for (unsigned index = 0; index < ejected.size(); ++index) {
+        ejected.set(index, news.ejected[index].text().c_str());
+    }
+}
+
+HealthMessage read(wire::Report::Reader reader)
+{
+    EvidenceReport report {
+        core::ServiceName(reader.getService().cStr()), reader.getSequence(), {}, {}
+    };
+    for (const auto entry : reader.getEndpoints()) {
+        report.endpoints.push_back({ core::EndpointName(entry.getEndpoint().cStr()),
+                                     entry.getAnswered(), entry.getFailed(), entry.getPrompt(),
+                                     entry.getSlow(), entry.getEnded(),
+                                     std::chrono::microseconds(entry.getBusyMicroseconds()) });
+    }
+    for (const auto entry : reader.getLatencies()) {
+        report.latencies.push_back({ entry.getBucket(), entry.getCount() });
+    }
+    return report;
+}
+
+HealthMessage read(wire::News::Reader reader)
+{
+    EjectionNews news { core::ServiceName(reader.getService().cStr()),
+                        reader.getHolding(),
+                        reader.getSequence(),
+                        reader.getRevision(),
+                        {},
+                        std::chrono::microseconds(reader.getSlowLimitMicroseconds()) };
+    for (const auto name : reader.getEjected()) {
+        news.ejected.emplace_back(name.cStr());
+    }
+    return news;
+}
+
+} // namespace
+
+std::vector<std::byte> encode(const HealthMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<wire::Message>();
+    std::visit([&root](const auto &value) { write(root, value); }, message);
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, builder);
+    const auto bytes = stream.getArray();
+    const auto view = std::as_bytes(std::span(bytes.begin(), bytes.size()));
+    return { view.begin(), view.end() };
+}
+
+core::Result<HealthMessage> decode(std::span<const std::byte> payload)
+{
+    try {
+        kj::ArrayInputStream stream(
+            { reinterpret_cast<const kj::byte *>(payload.data()), payload.size() });
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = MaxWordsRead;
+        capnp::PackedMessageReader message(stream, options);
+        const auto root = message.getRoot<wire::Message>();
+        return root.isReport() ? read(root.getReport()) : read(root.getNews());
+    } catch (const kj::Exception &) {
+        return core::notRun(core::Reason::BadRequest, "malformed health message");
+    }
+}
+
+} // namespace damaskgate::health
--- /dev/null
+++ b/src/health/healthcodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <variant>
+#include <vector>
+
+#include "damaskgate/core/error.h"
+
+#include "damaskgate/health/healthmessages.h"
+
+namespace damaskgate::health {
+
+using HealthMessage = std::variant<EvidenceReport, EjectionNews>;
+
+/** @return @p message as the payload of a datagram. */
+std::vector<std::byte> encode(const HealthMessage &message);
+
+/** @return the message; BadRequest when @p payload is malformed. */
+core::Result<HealthMessage> decode(std::span<const std::byte> payload);
+
+} // namespace damaskgate::health
