--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -23,6 +23,7 @@
 #include "controlplane.h"
 #include "dataplane.h"
 #include "functionpart.h"
+#include "upstreamplane.h"
 
 namespace damaskgate::daemon {
 
@@ -62,6 +63,7 @@
     ControlPlane control;
     limits::LimiterService limiter;
     DataPlane data;
+    UpstreamPlane upstreams;
     metrics::OperatorServer operatorServer;
     supervise::AsioScheduler scheduler;
     supervise::Supervisor root;
@@ -82,6 +84,9 @@
       data({ this->clock, this->control.settingsStore(), this->events, this->registry, this->gate,
              this->limiter },
            host, this->incarnation),
+      upstreams({ this->context, this->clock, this->events, this->control.network(),
+                  this->control.leases(), this->data },
+                host.name, this->incarnation),
       operatorServer(this->context, this->registry), scheduler(this->context),
       root({ "root", supervise::Strategy::RestForOne, {} }, this->scheduler, this->clock,
            this->events),
@@ -96,6 +101,7 @@
     this->control.settingsStore().addListener([this](const settings::SettingsPtr &settings) {
         this->data.applySettings(settings);
         this->limiter.applySettings(settings);
+        this->upstreams.applySettings(settings);
     });
     this->data.addTickTask([this] { this->limiter.tick(); });
     this->data.lookup().setHomeFinder([this](const core::WorkspaceName &workspace) {
@@ -123,6 +129,18 @@
                             },
                             [this] { this->control.halt(); },
                         }));
+    this->root.addChild("upstreams",
+                        std::make_unique<FunctionPart>(FunctionPart::Functions {
+                            [this]() -> core::Result<void> {
+                                this->upstreams.start();
+                                return {};
+                            },
+                            [this](const std::function<void()> &done) {
+                                this->upstreams.stop();
+                                done();
+                            },
+                            [this] { this->upstreams.stop(); },
+                        }));
     this->root.addChild("data",
                         std::make_unique<FunctionPart>(FunctionPart::Functions {
                             [this] { return this->data.start(); },
--- /dev/null
+++ b/src/daemon/serviceowners.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "damaskgate/balance/iserviceowners.h"
+#include "damaskgate/lease/ileaseview.h"
+
+namespace damaskgate::daemon {
+
+/** The holder of a service's partition owns the service. Safe to call from any thread. */
+class ServiceOwners final : public balance::IServiceOwners
+{
+public:
+    /**
+     * @param incarnation of this process
+     * @param leases outlives this
+     */
+    ServiceOwners(std::uint64_t incarnation, const lease::ILeaseView &leases);
+
+    std::optional<balance::Ownership> ownership(const core::ServiceName &service,
+                                                core::Instant now) const override;
+    std::vector<core::HostName> reportTargets(const core::ServiceName &service) const override;
+
+private:
+    std::uint64_t incarnation;
+    const lease::ILeaseView &leases;
+};
+
+} // namespace damaskgate::daemon
