lease, limits: a lost holder is replaced soon after its lease

Measured with a home killed, nobody held for up to 4 s with a lease of 2 s. Causes: two homes that each had some grantors kept refreshing them, and a request that was told a wrong holder asked that same host until it gave up. Ruled out: the lag of the live list alone (the second home does ask after 0.3 s). Now an undecided round gives its grants back and backs off by rank, the next home is asked after a wrong hint, and the holder that answered last is remembered. Without the first, the new test Tick_TwoHomesCompete does not hold.

--- a/src/lease/leasecandidate.cpp
+++ b/src/lease/leasecandidate.cpp
@@ -75,6 +75,11 @@
         }
         return;
     }
+    const bool isUndecided = state.round.sequence != 0;
+    if (now >= state.nextAttempt && isUndecided) {
+        this->abandonRound(partition, now);
+        return;
+    }
     if (now >= state.nextAttempt && this->wants(state, now)) {
         state.nextAttempt = now + this->policy.retryInterval + this->jitter();
         this->startRound(partition, now);
@@ -182,7 +187,9 @@
         this->batchTo(grantor).releases.push_back({ partition, state.round.sequence });
     }
     state.round = {};
-    state.nextAttempt = now + this->policy.retryInterval + this->jitter();
+    // Two candidates that each hold some grantors must not keep asking at the same pace.
+    const auto rank = static_cast<core::Duration::rep>(state.rank);
+    state.nextAttempt = now + this->policy.retryInterval * rank / 2 + this->jitter();
 }
 
 void LeaseCandidate::onAsk(const core::HostName &from, const HandoverAsk &ask, core::Instant now)
--- a/src/lease/tests/leasetable_test.cpp
+++ b/src/lease/tests/leasetable_test.cpp
@@ -141,6 +141,24 @@
     EXPECT_EQ(fleet.holders(0), std::vector { second });
 }
 
+TEST(LeaseTable_Tests, Tick_TwoHomesCompete_OneHoldsSoonAfterTheLease)
+{
+    for (PartitionId partition = 0; partition < PartitionCount; partition += 16) {
+        // [GIVEN] A holder that is cut off, and work at both of the other homes
+        Fleet fleet(6);
+        const auto &ranking = fleet.roster->ranking(partition);
+        fleet.cut = { ranking[0] };
+        fleet.tables[ranking[1]]->noteDemand(partition, fleet.clock.now());
+        fleet.tables[ranking[2]]->noteDemand(partition, fleet.clock.now());
+
+        // [WHEN] Its lease is over and a few rounds have passed
+        fleet.run(3500ms);
+
+        // [THEN] One of them holds
+        EXPECT_EQ(fleet.holders(partition).size(), 1U) << partition;
+    }
+}
+
 TEST(LeaseTable_Tests, OnAsk_PreferredHostReturns_HolderHandsOverOnce)
 {
     // [GIVEN] A second home that holds while the preferred host is cut off
--- a/src/limits/include/damaskgate/limits/limitermachine.h
+++ b/src/limits/include/damaskgate/limits/limitermachine.h
@@ -148,6 +148,7 @@
     std::unordered_map<std::uint64_t, std::uint64_t> ticketOfAsk;
     std::unordered_map<core::WorkspaceName, Bucket> buckets;
     std::unordered_map<core::WorkspaceName, PendingHandover> handovers;
+    std::map<lease::PartitionId, core::HostName> holders; //!< that answered last
     std::map<lease::PartitionId, core::Instant> releasing; //!< when the last lent token is void
     core::Instant nextRemoval;
     LimiterActions actions;
--- a/src/limits/limitermachine.cpp
+++ b/src/limits/limitermachine.cpp
@@ -118,6 +118,12 @@
         attempt.retryAt = now;
         return;
     }
+    const lease::PartitionId partition = partitionOf(attempt.workspace);
+    if (reply.outcome == TakeOutcome::NotHolder) {
+        this->holders.erase(partition);
+    } else {
+        this->holders[partition] = attempt.asked;
+    }
     if (reply.outcome == TakeOutcome::Granted) {
         this->decide(ticket, {});
         return;
@@ -129,7 +135,9 @@
     const bool isNews = !reply.holder.isEmpty() && reply.holder != attempt.asked;
     attempt.hint = isNews ? reply.holder : core::HostName();
     attempt.retryAt = now + (isNews ? core::Duration {} : this->policy.retryDelay);
-    if (isNews && attempt.unanswered++ == 0) {
+    // Without news the next home is asked, so that a wrong hint is not followed for ever.
+    const bool isFirst = attempt.unanswered++ == 0;
+    if (isNews && isFirst) {
         this->advance(ticket, now);
     }
 }
@@ -235,6 +243,7 @@
     if (attempt.askId != 0) {
         ++attempt.unanswered;
         attempt.hint = {};
+        this->holders.erase(partitionOf(attempt.workspace));
         this->actions.demands.push_back(partitionOf(attempt.workspace));
         if (this->guards.voidsLateReplies) {
             this->ticketOfAsk.erase(attempt.askId);
@@ -304,7 +313,8 @@
     }
     const lease::PartitionId partition = partitionOf(attempt.workspace);
     if (attempt.unanswered == 0) {
-        return this->leases.holderHint(partition);
+        const auto known = this->holders.find(partition);
+        return known == this->holders.end() ? this->leases.holderHint(partition) : known->second;
     }
     const auto homes = this->leases.homes(partition);
     if (homes.empty()) {
--- a/tests/search/refusals.cpp
+++ b/tests/search/refusals.cpp
@@ -219,7 +219,16 @@
     void settle(std::size_t index)
     {
         Node &node = *this->nodes[index];
+        for (const lease::LeaseChange &change : node.leases.takeChanges()) {
+            if (change.kind == lease::LeaseChange::Kind::Releasing) {
+                node.limiter.onReleasing(change.partition, change.epoch, change.successor,
+                                         this->now());
+            }
+        }
         const limits::LimiterActions actions = node.limiter.takeActions();
+        for (const lease::PartitionId released : actions.released) {
+            node.leases.confirmRelease(released, this->now());
+        }
         for (const lease::PartitionId demanded : actions.demands) {
             node.leases.noteDemand(demanded, this->now());
         }
