--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -122,7 +122,8 @@
 
 HttpRequest Caller::makeRequest(const LoadRoute &route, const std::string &requestId) const
 {
-    HttpRequest request(http::string_to_verb(route.method), route.path, HttpVersion);
+    HttpRequest request(http::string_to_verb(route.method), route.path + '/' + requestId,
+                        HttpVersion);
     request.set(RequestIdField, requestId);
     if (this->mode == RunMode::ThroughFleet && !this->workspace.key.empty()) {
         request.set(http::field::authorization, "Bearer " + this->workspace.key);
--- a/src/load/httpclient.cpp
+++ b/src/load/httpclient.cpp
@@ -40,10 +40,11 @@
     result.verdict = fieldText(response, VerdictField);
     result.ending = result.reason.empty() ? Ending::Answered : Ending::Refused;
     const std::string echoed = fieldText(response, RequestIdField);
-    const bool isInBody =
-        !requestId.empty() && response.body().find(requestId) != std::string::npos;
-    result.isEchoed = !echoed.empty() || isInBody;
-    result.isOwn = echoed.empty() || echoed == requestId;
+    const std::string &body = response.body();
+    const bool hasOwnId = !requestId.empty() && body.find(requestId) != std::string::npos;
+    const bool hasOtherId = !hasOwnId && body.find(RequestIdPrefix) != std::string::npos;
+    result.isEchoed = !echoed.empty() || hasOwnId || hasOtherId;
+    result.isOwn = (echoed.empty() || echoed == requestId) && !hasOtherId;
 }
 
 /** @return whether the peer has closed the idle connection or sent something unasked. */
--- a/src/load/httpclient.h
+++ b/src/load/httpclient.h
@@ -49,7 +49,11 @@
     std::map<Address, std::vector<std::unique_ptr<Stream>>> idle;
 };
 
-/** Field that carries the id of a request; an upstream returns it with its answer. */
+/**
+ * Field that carries the id of a request. The id also ends the path, so that an upstream that
+ * answers with either of them tells whose answer it is.
+ */
 inline constexpr char RequestIdField[] = "X-Request-Id";
+inline constexpr char RequestIdPrefix[] = "load-";
 
 } // namespace damaskgate::load
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -102,7 +102,7 @@
         if (this->inFlight < this->experiment.maxInFlight) {
             ++this->inFlight;
             Caller &caller = *group.callers[group.next++ % group.callers.size()];
-            const std::string id = "load-" + std::to_string(this->experiment.seed) + '-'
+            const std::string id = RequestIdPrefix + std::to_string(this->experiment.seed) + '-'
                 + std::to_string(++this->lastId) + '-';
             outcome = co_await caller.send(this->experiment.routes[item.route], id);
             --this->inFlight;
--- a/src/load/tests/runner_test.cpp
+++ b/src/load/tests/runner_test.cpp
@@ -195,6 +195,24 @@
     EXPECT_EQ(stream["good"], 0);
 }
 
+TEST(Runner_Tests, Run_BodyOfAnotherRequest_IsCountedAsWrong)
+{
+    // [GIVEN] An endpoint that answers with the path of the request before
+    EchoServer server;
+    std::string previous = "/r/load-0-0-";
+    server.adapt = [&previous](const Request &request, Response &response) {
+        response.erase("X-Request-Id");
+        response.body() = std::exchange(previous, std::string(request.target()));
+    };
+
+    // [WHEN] Requests are sent
+    const nlohmann::json stream =
+        onlyStream(runExperiment(experimentFor(server, true), RunMode::ThroughFleet));
+
+    // [THEN] Each answer is another's
+    EXPECT_EQ(stream["wrong_answers"], 10);
+}
+
 TEST(Runner_Tests, Run_RefusalWithinTheRate_IsCalledWrongful)
 {
     // [GIVEN] An entry that refuses all
