--- a/src/balance/coldledger.cpp
+++ b/src/balance/coldledger.cpp
@@ -109,8 +109,9 @@
 void ColdLedger::learn(State &state, const core::HostName &host, const EndpointUse &use,
                        core::Instant now) const
 {
-    const bool isNewIncarnation = use.incarnation != 0 && !state.incarnations.empty()
-        && !state.incarnations.contains(use.incarnation);
+    const bool isFirst = state.incarnations.empty() && use.temperature != Temperature::Cold;
+    const bool isNewIncarnation =
+        use.incarnation != 0 && !isFirst && !state.incarnations.contains(use.incarnation);
     if (use.incarnation != 0) {
         state.incarnations.insert(use.incarnation);
     }
--- a/src/health/endpointjudge.cpp
+++ b/src/health/endpointjudge.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double ShareDecay = 0.9; //!< of counts, for each evaluation
+constexpr double RecentDecay = 0.6; //!< finds a fault of the whole service in time
 constexpr double LatencyDecay = 0.98;
 constexpr double SharesMinimum = 4; //!< exchanges that make a share meaningful
 constexpr double LatencyMinimum = 40; //!< exchanges that make a median meaningful
@@ -46,26 +47,29 @@
     Sample slowness;
 };
 
-struct EndpointJudge::Record
+struct EndpointJudge::Share
 {
-    struct Share
+    explicit Share(double decayFactor) : decayFactor(decayFactor) {}
+
+    void add(Sample sample)
     {
-        double good = 0;
-        double bad = 0;
+        this->good += sample.good;
+        this->bad += sample.bad;
+    }
 
-        void add(Sample sample)
-        {
-            this->good += sample.good;
-            this->bad += sample.bad;
-        }
+    void decay()
+    {
+        this->good *= this->decayFactor;
+        this->bad *= this->decayFactor;
+    }
 
-        void decay()
-        {
-            this->good *= ShareDecay;
-            this->bad *= ShareDecay;
-        }
-    };
+    double decayFactor;
+    double good = 0;
+    double bad = 0;
+};
 
+struct EndpointJudge::Record
+{
     /**
      * Time of a slot that one exchange takes, in seconds. Exchanges that only wait for a slot of a
      * busy endpoint do not count, so that a queue is not taken for slowness.
@@ -79,8 +83,10 @@
     core::Duration busy {}; //!< since the last evaluation
     double slotTime = 0; //!< seconds
     double ended = 0;
-    Share failures;
-    Share slowness;
+    Share failures { ShareDecay };
+    Share slowness { ShareDecay };
+    Share recentFailures { RecentDecay };
+    Share recentSlowness { RecentDecay };
     ChangeDetector failureDetector;
     ChangeDetector slownessDetector;
 };
@@ -104,6 +110,8 @@
         };
         record->failures.add(batch.failures);
         record->slowness.add(batch.slowness);
+        record->recentFailures.add(batch.failures);
+        record->recentSlowness.add(batch.slowness);
         record->batches.push_back(batch);
         record->busy += evidence.busy;
         record->ended += evidence.ended;
@@ -116,19 +124,21 @@
 
 void EndpointJudge::evaluate()
 {
-    const double usualFailure = this->medianShare(false);
-    const double usualSlowness = this->medianShare(true);
+    const double usualFailure =
+        std::max(this->medianShare(&Record::failures), this->medianShare(&Record::recentFailures));
+    const double usualSlowness =
+        std::max(this->medianShare(&Record::slowness), this->medianShare(&Record::recentSlowness));
     for (const auto &record : this->records | std::views::values) {
         this->judge(*record, usualFailure, usualSlowness);
     }
     this->updateSlowLimit();
 }
 
-double EndpointJudge::medianShare(bool isSlowness) const
+double EndpointJudge::medianShare(Share Record::*kind) const
 {
     std::vector<double> shares;
     for (const auto &record : this->records | std::views::values) {
-        const Record::Share &share = isSlowness ? record->slowness : record->failures;
+        const Share &share = (*record).*kind;
         const double count = share.good + share.bad;
         if (count >= SharesMinimum) {
             shares.push_back(share.bad / count);
@@ -168,8 +178,12 @@
     const Hypotheses failure = hypothesesFor(usualFailure, FailureLimits);
     const Hypotheses slowness = hypothesesFor(usualSlowness, SlownessLimits);
     for (const Batch &batch : record.batches) {
-        record.failureDetector.add(batch.host, batch.domain, batch.failures, failure);
-        record.slownessDetector.add(batch.host, batch.domain, batch.slowness, slowness);
+        if (usualFailure <= FailureLimits.most) {
+            record.failureDetector.add(batch.host, batch.domain, batch.failures, failure);
+        }
+        if (usualSlowness <= SlownessLimits.most) {
+            record.slownessDetector.add(batch.host, batch.domain, batch.slowness, slowness);
+        }
     }
     record.batches.clear();
     const core::Duration most = ReportInterval * this->slots;
@@ -177,6 +191,8 @@
     record.busy = {};
     record.failures.decay();
     record.slowness.decay();
+    record.recentFailures.decay();
+    record.recentSlowness.decay();
     record.slotTime *= ShareDecay;
     record.ended *= ShareDecay;
 }
--- a/src/health/include/damaskgate/health/endpointjudge.h
+++ b/src/health/include/damaskgate/health/endpointjudge.h
@@ -50,9 +50,10 @@
 
 private:
     struct Record;
+    struct Share;
     struct Batch;
 
-    double medianShare(bool isSlowness) const;
+    double medianShare(Share Record::*kind) const;
     double medianWorkTime() const;
     void judge(Record &record, double usualFailure, double usualSlowness);
     void updateSlowLimit();
--- a/src/health/include/damaskgate/health/serviceowner.h
+++ b/src/health/include/damaskgate/health/serviceowner.h
@@ -45,6 +45,9 @@
     /** Judges and decides; called every ReportInterval. @return what has changed. */
     std::vector<Change> evaluate(core::Instant now);
 
+    /** @return latency from which an exchange counts as slow. */
+    core::Duration slowLimit() const;
+
 private:
     struct History
     {
--- a/src/health/serviceowner.cpp
+++ b/src/health/serviceowner.cpp
@@ -74,6 +74,11 @@
     return this->takeChanges();
 }
 
+core::Duration ServiceOwner::slowLimit() const
+{
+    return this->judge.slowLimit();
+}
+
 void ServiceOwner::readmit(core::Instant now)
 {
     for (const auto &[endpoint, history] : this->histories) {
