balance: prefer other endpoints after a failure without an answer

An endpoint that only some hosts cannot reach must not be ejected for all, so a host keeps to other endpoints for 0.5 s, doubled up to 16 s, unless no other has a free slot. Fair share of workspaces under one that sends ten times its share is tested.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -167,6 +167,7 @@
     }
     pool->onReleased(this->clock.now() - slot.since);
     pool->picker.release(slot.endpoint);
+    pool->picker.onOutcome(slot.endpoint, report.outcome, this->clock.now());
     this->learnTemperature(*pool, slot.endpoint, report);
     this->serve(*pool);
 }
--- a/src/balance/endpointpicker.cpp
+++ b/src/balance/endpointpicker.cpp
@@ -4,12 +4,16 @@
 #include <limits>
 #include <numeric>
 #include <ranges>
+#include <utility>
 #include <vector>
 
 namespace damaskgate::balance {
 
 namespace {
 
+constexpr std::chrono::milliseconds FirstAvoidance { 500 };
+constexpr std::uint32_t MostDoublings = 5;
+
 bool isInService(const settings::Settings &settings, const settings::Endpoint &endpoint)
 {
     const auto domain = settings.domains.find(endpoint.domain);
@@ -26,6 +30,9 @@
 {
     this->slots = service.slots;
     this->candidates.clear();
+    std::erase_if(this->avoidances, [&service](const auto &entry) {
+        return !service.endpoints.contains(entry.first);
+    });
     std::set<core::EndpointName> inService;
     for (const auto &[name, endpoint] : service.endpoints) {
         if (isInService(settings, endpoint)) {
@@ -64,18 +71,20 @@
                                                        core::Instant now,
                                                        std::mt19937_64 &random) const
 {
-    std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
+    using Rank = std::pair<bool, std::uint32_t>; // avoided, in flight
+    Rank lowest { true, std::numeric_limits<std::uint32_t>::max() };
     std::vector<const core::EndpointName *> best;
     for (const auto &name : this->candidates | std::views::keys) {
         const std::uint32_t running = this->inFlight(name);
         const bool isFree = running < this->lease.limit(name, this->slots, now);
-        if (!isFree || running > fewest || !this->isCandidate(name, excluded)) {
+        const Rank rank { this->isAvoided(name, now), running };
+        if (!isFree || rank > lowest || !this->isCandidate(name, excluded)) {
             continue;
         }
-        if (running < fewest) {
+        if (rank < lowest) {
             best.clear();
         }
-        fewest = running;
+        lowest = rank;
         best.push_back(&name);
     }
     if (best.empty()) {
@@ -99,6 +108,29 @@
     }
 }
 
+void EndpointPicker::onOutcome(const core::EndpointName &endpoint, Outcome outcome,
+                               core::Instant now)
+{
+    const bool isAnswer = outcome == Outcome::Answered || outcome == Outcome::ServerError;
+    const bool isUnreachable = outcome == Outcome::ConnectFailed || outcome == Outcome::Timeout
+        || outcome == Outcome::BrokenOff;
+    if (isAnswer) {
+        this->avoidances.erase(endpoint);
+    }
+    if (!isUnreachable) {
+        return;
+    }
+    Avoidance &avoidance = this->avoidances[endpoint];
+    avoidance.until = now + FirstAvoidance * (1U << std::min(avoidance.failures, MostDoublings));
+    ++avoidance.failures;
+}
+
+bool EndpointPicker::isAvoided(const core::EndpointName &endpoint, core::Instant now) const
+{
+    const auto found = this->avoidances.find(endpoint);
+    return found != this->avoidances.end() && now < found->second.until;
+}
+
 std::uint32_t EndpointPicker::inFlight(const core::EndpointName &endpoint) const
 {
     const auto found = this->busy.find(endpoint);
--- a/src/balance/endpointpicker.h
+++ b/src/balance/endpointpicker.h
@@ -11,6 +11,8 @@
 #include "damaskgate/core/time.h"
 #include "damaskgate/settings/settingstypes.h"
 
+#include "damaskgate/balance/balancetypes.h"
+
 #include "coldlease.h"
 
 namespace damaskgate::balance {
@@ -46,6 +48,12 @@
     /** Counts one request of @p endpoint less. */
     void release(const core::EndpointName &endpoint);
 
+    /**
+     * Notes how an exchange of this host with @p endpoint ended. After connections that failed or
+     * gave no answer other endpoints are preferred for a while; none is lost for this host.
+     */
+    void onOutcome(const core::EndpointName &endpoint, Outcome outcome, core::Instant now);
+
     /** @return requests of this host in flight at @p endpoint. */
     std::uint32_t inFlight(const core::EndpointName &endpoint) const;
 
@@ -61,6 +69,13 @@
     ColdLease &coldLease();
 
 private:
+    struct Avoidance
+    {
+        std::uint32_t failures = 0; //!< in a row
+        core::Instant until;
+    };
+
+    bool isAvoided(const core::EndpointName &endpoint, core::Instant now) const;
     bool isCandidate(const core::EndpointName &endpoint,
                      std::span<const core::EndpointName> excluded) const;
 
@@ -68,6 +83,7 @@
     std::map<core::EndpointName, settings::Endpoint> candidates; //!< in service
     std::set<core::EndpointName> ejected;
     std::map<core::EndpointName, std::uint32_t> busy; //!< also endpoints that left the settings
+    std::map<core::EndpointName, Avoidance> avoidances;
     ColdLease lease;
 };
 
--- a/src/balance/tests/balancer_test.cpp
+++ b/src/balance/tests/balancer_test.cpp
@@ -224,3 +224,54 @@
     EXPECT_EQ(this->grants.size(), 3U);
     EXPECT_TRUE(this->refusals.empty());
 }
+
+TEST_F(Balancer_Tests, Acquire_EndpointGaveNoAnswer_PrefersOthersForAWhile)
+{
+    // [GIVEN] An exchange that timed out
+    this->acquire("a");
+    const core::EndpointName failed = this->grants.front().endpoint.name;
+    this->balancer.release(this->grants.front().id, { Outcome::Timeout, {}, {} });
+    this->grants.clear();
+
+    // [WHEN] Requests fill the other endpoint and one more comes
+    this->acquire("a");
+    this->acquire("a");
+    EXPECT_EQ(this->balancer.inFlight(Stundaskra, failed), 0U);
+    this->acquire("a");
+
+    // [THEN] The endpoint is used rather than a request kept waiting
+    EXPECT_EQ(this->balancer.inFlight(Stundaskra, failed), 1U);
+}
+
+TEST_F(Balancer_Tests, Release_OneWorkspaceSendsTenTimesItsShare_OthersGetTheirShare)
+{
+    // [GIVEN] Workspaces of weight 1 and 3 that always wait, and one that sends ten times as much
+    this->settings.services[Stundaskra].queueLimit = 40;
+    this->settings.workspaces[core::WorkspaceName("large")].weight = 3;
+    this->apply();
+    for (int i = 0; i < 4; ++i) {
+        this->acquire("first");
+    }
+    this->servedWorkspaces.clear();
+
+    // [WHEN] 500 slots become free one after the other
+    for (int i = 0; i < 500; ++i) {
+        for (int k = 0; k < 10; ++k) {
+            this->acquire("greedy");
+        }
+        this->acquire("small");
+        this->acquire("large");
+        this->acquire("large");
+        this->acquire("large");
+        this->clock.advance(5ms);
+        this->releaseFirst();
+    }
+
+    // [THEN] The work done is in proportion to the weights
+    const auto served = [this](const char *name) {
+        return std::ranges::count(this->servedWorkspaces, name);
+    };
+    EXPECT_NEAR(served("small"), 100, 2);
+    EXPECT_NEAR(served("large"), 300, 2);
+    EXPECT_NEAR(served("greedy"), 100, 2);
+}
--- a/src/health/benchmarks/detection.cpp
+++ b/src/health/benchmarks/detection.cpp
@@ -163,6 +163,8 @@
     settings::SettingsPtr settings;
     std::vector<std::unique_ptr<EvidenceCollector>> collectors;
     std::vector<std::unique_ptr<balance::Balancer>> balancers;
+    int lateFailures = 0; //!< exchanges that failed in the last third of the fault
+    int lateExchanges = 0;
 
 private:
     struct Event
@@ -325,6 +327,10 @@
         const bool isFailure =
             outcome != balance::Outcome::Answered && outcome != balance::Outcome::Shed;
         this->policy->onEnded(job.host, job.endpoint, isFailure);
+        if (this->clock.now() >= this->start + WarmUp + FaultTime * 2 / 3) {
+            ++this->lateExchanges;
+            this->lateFailures += isFailure ? 1 : 0;
+        }
         this->balancers[job.host]->release(job.grant,
                                            { outcome, this->clock.now() - job.sent, {} });
     }
@@ -543,6 +549,8 @@
     std::vector<double> delays; //!< seconds; FaultTime where not detected
     int missed = 0;
     int falseEjections = 0;
+    int lateFailures = 0;
+    int lateExchanges = 0;
 };
 
 void runFault(const FaultCase &fault, const PolicyFactory &make, std::uint64_t seed, Findings &sum)
@@ -560,6 +568,8 @@
         detected ? *detected - bench.start - WarmUp : core::Duration(FaultTime);
     sum.delays.push_back(std::chrono::duration<double>(delay).count());
     sum.missed += detected ? 0 : 1;
+    sum.lateFailures += bench.lateFailures;
+    sum.lateExchanges += bench.lateExchanges;
     for (std::size_t e = 0; e < Quiet.endpoints; ++e) {
         sum.falseEjections += bench.isFaulty(e) ? 0 : policy->ejections()[e];
     }
@@ -585,9 +595,10 @@
             runFault(fault, make, static_cast<std::uint64_t>(seed) * 1000, sum);
         }
         std::ranges::sort(sum.delays);
-        std::printf("  %-20s median %5.2f s  worst %5.2f s  missed %d/%d  false %d\n", fault.name,
-                    sum.delays[sum.delays.size() / 2], sum.delays.back(), sum.missed, seeds,
-                    sum.falseEjections);
+        std::printf(
+            "  %-20s median %5.2f s  worst %5.2f s  missed %d/%d  false %d  late failures %.2f%%\n",
+            fault.name, sum.delays[sum.delays.size() / 2], sum.delays.back(), sum.missed, seeds,
+            sum.falseEjections, 100.0 * sum.lateFailures / sum.lateExchanges);
     }
     std::fflush(stdout);
 }
--- a/src/health/include/damaskgate/health/endpointjudge.h
+++ b/src/health/include/damaskgate/health/endpointjudge.h
@@ -16,8 +16,8 @@
 /** How much evidence makes an endpoint faulty. */
 struct JudgeThresholds
 {
-    double failure = 12; //!< log-likelihood ratio of failures
-    double slowness = 16; //!< log-likelihood ratio of slow exchanges
+    double failure = 10; //!< log-likelihood ratio of failures
+    double slowness = 10; //!< log-likelihood ratio of slow exchanges
 };
 
 /** Judges the endpoints of one service against each other by the reports of all entry hosts. */
