--- a/src/balance/coldlease.h
+++ b/src/balance/coldlease.h
@@ -25,6 +25,12 @@
 class ColdLease
 {
 public:
+    /**
+     * @param firstSequence of the requests; random, so that no answer to an earlier process of
+     *        this host can be taken for one to this process
+     */
+    explicit ColdLease(std::uint64_t firstSequence);
+
     /** @param ramp from cold to warm; zero: endpoints have no cold phase */
     void applySettings(core::Duration ramp, const std::set<core::EndpointName> &endpoints);
 
@@ -57,6 +63,9 @@
     /** Applies an answer of the owner; older ones than applied are ignored. */
     void onAnswer(const SlotAnswer &answer, core::Instant now);
 
+    /** @return whether @p endpoint is warm or has no cold phase. */
+    bool isWarm(const core::EndpointName &endpoint) const;
+
     /** @return the temperature of @p endpoint. */
     Temperature temperature(const core::EndpointName &endpoint) const;
 
@@ -67,7 +76,7 @@
         core::Duration servedFor {};
         std::uint64_t incarnation = 0;
         std::uint64_t changedAt = 0; //!< sequence from which requests tell the latest change
-        std::uint64_t appliedEpoch = 0;
+        std::uint64_t appliedHolding = 0;
         std::uint64_t appliedSequence = 0;
         std::uint32_t quota = 0;
         core::Instant quotaEnd;
@@ -81,12 +90,12 @@
     };
 
     void change(State &state, Temperature temperature);
-    void applyQuota(const EndpointQuota &quota, std::uint64_t answerEpoch, const Sent &request,
+    void applyQuota(const EndpointQuota &quota, std::uint64_t answerHolding, const Sent &request,
                     core::Instant now);
 
     core::Duration ramp {};
     std::uint64_t sequence = 0;
-    std::uint64_t epoch = 0;
+    std::uint64_t round = 0;
     std::deque<Sent> sent;
     std::map<core::EndpointName, State> states;
 };
--- a/src/health/include/damaskgate/health/healthmessages.h
+++ b/src/health/include/damaskgate/health/healthmessages.h
@@ -17,6 +17,8 @@
     std::uint32_t failed = 0; //!< errors, timeouts, failed and broken connections
     std::uint32_t prompt = 0; //!< first byte within the slow limit
     std::uint32_t slow = 0; //!< shed, or first byte later than the slow limit or still awaited
+    std::uint32_t ended = 0; //!< exchanges that the endpoint worked on and that ended
+    core::Duration busy {}; //!< sum of the time that exchanges were in flight
 };
 
 /** Exchanges of one entry host with one latency, in a logarithmic scale. */
@@ -39,8 +41,9 @@
 struct EjectionNews
 {
     core::ServiceName service;
-    std::uint64_t epoch = 0; //!< of the owner's lease
+    std::uint64_t holding = 0; //!< tells the holdings of the lease apart; not ordered
     std::uint64_t sequence = 0; //!< of the report
+    std::uint64_t revision = 0; //!< rises with each news of one holding
     std::vector<core::EndpointName> ejected; //!< the most certain first
     core::Duration slowLimit {}; //!< latency from which an exchange counts as slow
 };
--- a/src/lease/roster.cpp
+++ b/src/lease/roster.cpp
@@ -102,11 +102,17 @@
 
 PartitionId partitionOf(std::string_view key)
 {
-    return static_cast<PartitionId>(core::hash64(key) % PartitionCount);
+    // FNV-1a: this runs for every request, and no adversary chooses the keys.
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char character : key) {
+        hash ^= static_cast<unsigned char>(character);
+        hash *= 0x100000001b3ULL;
+    }
+    return static_cast<PartitionId>(mix(hash) % PartitionCount);
 }
 
 Roster::Roster(std::uint64_t revision, std::span<const RosterHost> hosts,
-               std::span<const RosterHost> previous)
+               std::span<const RosterHost> previous, std::optional<PartitionId> only)
     : rosterId { hashRoster(hosts, previous), revision }
 {
     const auto hashes = hashHosts(hosts);
@@ -115,6 +121,9 @@
     const std::size_t previousDomains = countDomains(previous);
     this->placements.resize(PartitionCount);
     for (PartitionId partition = 0; partition < PartitionCount; ++partition) {
+        if (only && *only != partition) {
+            continue;
+        }
         Placement &placement = this->placements[partition];
         const auto ranked = rank(hosts, hashes, partition);
         for (const auto &[score, host] :
