--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -16,7 +16,7 @@
     constexpr int ExitUnavailable = 3;
     PlatformServerOptions options;
     CLI::App app("Stand-in for the platform: serves files as values of a key-value API");
-    app.set_version_flag("--version", "damaskgate-platform 0.1.0");
+    app.set_version_flag("--version", "damaskgate-platform " DAMASKGATE_VERSION);
     app.add_option("--address", options.address, "IP number to serve at")->capture_default_str();
     app.add_option("--port", options.port, "port to serve at; 0: any free one")->required();
     app.add_option("--directory", options.directory, "directory whose files are the values");
