--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds FreshnessLimit { 3000 };
 constexpr std::chrono::milliseconds OutOfServiceGrace { 2500 }; // beyond the look-up's time to live
 
 peer::PeerAddress toPeerAddress(const settings::Host &host)
@@ -47,7 +46,9 @@
               dependencies.events, incarnation),
       reader(dependencies.context, readerOptions(host, incarnation), this->store,
              dependencies.events, dependencies.clock),
-      watchDuty(host.name, host.domain), tickTimer(dependencies.context)
+      watchDuty(host.name, host.domain),
+      relay(dependencies.context.get_executor(), this->store, dependencies.events),
+      startGate(dependencies.clock.now()), tickTimer(dependencies.context)
 {
     this->store.addListener(
         [this](const settings::SettingsPtr &settings) { this->applySettings(settings); });
@@ -56,7 +57,7 @@
     this->members.addChangeListener([this] { this->onMembersChanged(); });
     this->members.setRevisionListener(
         [this](const core::HostName &teller, const settings::Revision &revision) {
-            this->fetchFrom(teller, revision);
+            this->onNewerRevision(teller, revision);
         });
 }
 
@@ -71,6 +72,10 @@
     if (!port) {
         return tl::unexpected(port.error());
     }
+    const auto relayPort = this->relay.serve(this->host.address, this->host.peerPort);
+    if (!relayPort) {
+        return tl::unexpected(relayPort.error());
+    }
     this->connectSeeds();
     this->members.start();
     this->reader.start();
@@ -83,6 +88,7 @@
     this->tickTimer.cancel();
     this->reader.stop();
     this->members.stop();
+    this->relay.stop();
     this->peers.stop();
 }
 
@@ -134,12 +140,14 @@
 
 void ControlPlane::onPlatformAnswered(core::Instant sentAt)
 {
-    this->platformAnsweredAt = std::max(this->platformAnsweredAt.value_or(sentAt), sentAt);
+    this->freshness.onPlatformAnswered(sentAt);
     this->updateFreshness();
 }
 
 void ControlPlane::applySettings(const settings::SettingsPtr &settings)
 {
+    this->startGate.onAccepted(settings->revision);
+    this->freshness.setOtherHosts(settings->hosts.size() - settings->hosts.count(this->host.name));
     std::vector<peer::PeerAddress> addresses;
     std::ranges::transform(settings->hosts | std::views::values, std::back_inserter(addresses),
                            toPeerAddress);
@@ -160,9 +168,32 @@
     this->updatePace(*settings);
 }
 
-void ControlPlane::fetchFrom(const core::HostName & /*teller*/,
-                             const settings::Revision & /*revision*/)
-{}
+void ControlPlane::onNewerRevision(const core::HostName &teller, const settings::Revision &revision)
+{
+    this->startGate.onRevisionHeard(revision);
+    const auto address = this->peerAddressOf(teller);
+    if (!address) {
+        return;
+    }
+    const auto ignoreResult = [](const core::Result<settings::OfferResult> & /*result*/) {
+    };
+    this->relay.fetch(teller, address->address, address->port, revision, ignoreResult);
+}
+
+std::optional<settings::SocketAddress> ControlPlane::peerAddressOf(const core::HostName &name) const
+{
+    if (const settings::SettingsPtr settings = this->store.current()) {
+        const auto found = settings->hosts.find(name);
+        if (found != settings->hosts.end()) {
+            return settings::SocketAddress { found->second.address, found->second.peerPort };
+        }
+    }
+    const auto seed = std::ranges::find(this->host.seedPeers, name, &settings::SeedPeer::host);
+    if (seed != this->host.seedPeers.end()) {
+        return seed->address;
+    }
+    return std::nullopt;
+}
 
 void ControlPlane::updatePace(const settings::Settings &settings)
 {
@@ -194,12 +225,12 @@
 
 void ControlPlane::updateFreshness()
 {
-    std::optional<core::Instant> newest = this->members.table().contactSince();
-    if (this->platformAnsweredAt) {
-        newest = std::max(newest.value_or(*this->platformAnsweredAt), *this->platformAnsweredAt);
+    if (const auto contact = this->members.table().contactSince()) {
+        this->startGate.onFleetContact();
+        this->freshness.onFleetContact(*contact);
     }
-    if (newest && this->store.current()) {
-        this->gate.setFreshUntil(*newest + FreshnessLimit);
+    if (this->startGate.mayServe(this->clock.now())) {
+        this->gate.setFreshUntil(this->freshness.freshUntil());
     }
 }
 
--- a/src/daemon/controlplane.h
+++ b/src/daemon/controlplane.h
@@ -16,8 +16,11 @@
 #include "damaskgate/platform/iplatformlistener.h"
 #include "damaskgate/platform/platformreader.h"
 #include "damaskgate/platform/watchduty.h"
+#include "damaskgate/relay/settingsrelay.h"
+#include "damaskgate/settings/freshnessguard.h"
 #include "damaskgate/settings/hostsettings.h"
 #include "damaskgate/settings/settingsstore.h"
+#include "damaskgate/settings/startgate.h"
 
 #include "servinggate.h"
 
@@ -65,7 +68,8 @@
 private:
     void applySettings(const settings::SettingsPtr &settings);
     void onMembersChanged();
-    void fetchFrom(const core::HostName &host, const settings::Revision &revision);
+    void onNewerRevision(const core::HostName &teller, const settings::Revision &revision);
+    std::optional<settings::SocketAddress> peerAddressOf(const core::HostName &host) const;
     void updatePace(const settings::Settings &settings);
     void updateService(const settings::Settings &settings);
     void updateFreshness();
@@ -83,10 +87,12 @@
     lease::LeaseService leasing;
     platform::PlatformReader reader;
     platform::WatchDuty watchDuty;
+    relay::SettingsRelay relay;
+    settings::FreshnessGuard freshness;
+    settings::StartGate startGate;
     boost::asio::steady_timer tickTimer;
     LiveHostsListener liveHostsListener;
     std::vector<platform::ListedHost> listedHosts;
-    std::optional<core::Instant> platformAnsweredAt;
     std::optional<core::Instant> outOfServiceSince;
 };
 
