--- a/src/health/benchmarks/detection.cpp
+++ b/src/health/benchmarks/detection.cpp
@@ -2,6 +2,7 @@
 // baselines. Usage: damaskgate_detection [--seeds N] [--minutes N]
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <deque>
 #include <functional>
@@ -73,10 +74,14 @@
     std::size_t endpoints = 6;
     std::uint32_t slots = 6;
     double ratePerEndpoint = 20;
+    bool isRough = false; //!< 2% errors and log-normal work times with a long tail
 };
 
 constexpr Setup Quiet { 6, 6, 20 };
 constexpr Setup Busy { 6, 2, 85 };
+constexpr Setup Large { 14, 6, 20 };
+constexpr Setup Rough { 6, 6, 20, true };
+constexpr double RoughErrors = 0.02;
 
 /** Decides which endpoints a host does not use; the product and the baselines. */
 class IPolicy
@@ -286,7 +291,17 @@
         const bool isSlow = this->isFaulty(job.endpoint)
             && (this->fault == Fault::Slow || this->fault == Fault::DomainSlow);
         const double mean = std::chrono::duration<double>(MeanWork).count() * (isSlow ? 5 : 1);
-        this->at(toDuration(this->exponential(mean)) + 1ms, [this, job] { this->finish(job); });
+        this->at(toDuration(this->drawWork(mean)) + 1ms, [this, job] { this->finish(job); });
+    }
+
+    double drawWork(double mean)
+    {
+        if (!this->setup.isRough) {
+            return this->exponential(mean);
+        }
+        constexpr double Sigma = 1.2;
+        std::lognormal_distribution<double> work(std::log(mean) - Sigma * Sigma / 2, Sigma);
+        return work(this->random);
     }
 
     void finish(const Job &job)
@@ -301,7 +316,8 @@
         const bool isCut = this->isFaulty(job.endpoint) && this->fault == Fault::OneWayCutDomain
             && job.host % DomainCount == 1;
         if (!isCut) {
-            const bool isError = this->isFaulty(job.endpoint) && this->fails();
+            const bool isError = (this->isFaulty(job.endpoint) && this->fails())
+                || (this->setup.isRough && this->happens(RoughErrors));
             this->end(job, isError ? balance::Outcome::ServerError : balance::Outcome::Answered);
         }
     }
@@ -586,9 +602,10 @@
 void print(const std::string &name, const PolicyFactory &make, int seeds,
            std::chrono::minutes length)
 {
-    std::printf("%s: false ejections in %ld min x %zu endpoints: quiet %d, busy %d\n", name.c_str(),
-                static_cast<long>(length.count()), Quiet.endpoints,
-                runFaultFree(Quiet, make, length), runFaultFree(Busy, make, length));
+    std::printf("%s: false ejections in %ld min: quiet %d, 14 endpoints %d, busy %d, rough %d\n",
+                name.c_str(), static_cast<long>(length.count()), runFaultFree(Quiet, make, length),
+                runFaultFree(Large, make, length), runFaultFree(Busy, make, length),
+                runFaultFree(Rough, make, length));
     for (const FaultCase &fault : FaultCases) {
         Findings sum;
         for (int seed = 0; seed < seeds; ++seed) {
@@ -614,7 +631,7 @@
     app.add_option("--minutes", minutes, "length of the runs without a fault");
     CLI11_PARSE(app, argc, argv);
 
-    for (const double threshold : { 6.0, 8.0, 10.0, 12.0, 16.0, 20.0, 26.0 }) {
+    for (const double threshold : { 2.0, 3.0, 4.0, 6.0, 8.0, 10.0, 14.0, 20.0 }) {
         print(
             "owner, threshold " + std::to_string(static_cast<int>(threshold)),
             [threshold](Bench &bench, const FaultCase &) {
