--- a/src/daemon/dataplane.cpp
+++ b/src/daemon/dataplane.cpp
@@ -25,7 +25,7 @@
 DataPlane::DataPlane(const Dependencies &dependencies, const settings::HostSettings &host,
                      std::uint64_t incarnation)
     : workGuard(boost::asio::make_work_guard(this->context)), tickTimer(this->context), host(host),
-      balancing(dependencies.clock, incarnation),
+      balancing(dependencies.clock, incarnation), fleetLookup(incarnation),
       recorder(dependencies.registry, dependencies.events),
       server(this->context,
              entry::EntryDependencies {
--- a/src/daemon/fleetlookup.cpp
+++ b/src/daemon/fleetlookup.cpp
@@ -1,41 +1,36 @@
 #include "fleetlookup.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
-#include "damaskgate/core/hash.h"
-
 namespace damaskgate::daemon {
 
 namespace {
 
 constexpr std::size_t MaxNamedHosts = 4;
-constexpr std::size_t MaxRememberedWorkspaces = 10000;
 
-entry::LookupEntry toEntry(const settings::Host &host)
+entry::LookupEntry toEntry(const settings::Host *host)
 {
-    return entry::LookupEntry { host.name, host.address, host.callerPort, host.domain };
+    return entry::LookupEntry { host->name, host->address, host->callerPort, host->domain };
 }
 
-void appendOnce(std::vector<core::HostName> &names, const core::HostName &name)
+void appendOnce(std::vector<const settings::Host *> &chosen, const settings::Host &host)
 {
-    if (std::ranges::find(names, name) == names.end()) {
-        names.push_back(name);
+    if (std::ranges::find(chosen, &host) == chosen.end()) {
+        chosen.push_back(&host);
     }
 }
 
 } // namespace
 
+FleetLookup::FleetLookup(std::uint64_t seed) : random(seed) {}
+
 void FleetLookup::setHosts(std::vector<settings::Host> hosts)
 {
-    this->hosts.clear();
-    this->ranked.clear();
-    for (settings::Host &host : hosts) {
-        const core::HostName name = host.name;
-        this->hosts.emplace(name, std::move(host));
-    }
+    this->hosts = std::move(hosts);
+    std::ranges::sort(this->hosts, {}, &settings::Host::name);
 }
 
 void FleetLookup::setHomeFinder(HomeFinder finder)
@@ -45,21 +40,13 @@
 
 std::vector<entry::LookupEntry> FleetLookup::rankFor(const core::WorkspaceName &workspace)
 {
-    std::vector<core::HostName> chosen;
-    if (this->findHomes) {
-        for (const core::HostName &home : this->findHomes(workspace)) {
-            if (this->hosts.contains(home)) {
-                appendOnce(chosen, home);
-            }
-        }
-    }
-    for (const core::HostName &host : this->rankedHosts(workspace)) {
-        appendOnce(chosen, host);
+    std::vector<const settings::Host *> chosen;
+    if (!workspace.isEmpty()) {
+        this->appendHomes(chosen, workspace);
     }
+    this->appendOthers(chosen);
     std::vector<entry::LookupEntry> entries;
-    for (const core::HostName &name : chosen | std::views::take(MaxNamedHosts)) {
-        entries.push_back(toEntry(this->hosts.at(name)));
-    }
+    std::ranges::transform(chosen, std::back_inserter(entries), toEntry);
     return entries;
 }
 
@@ -68,20 +55,28 @@
     return LookupTimeToLive;
 }
 
-const std::vector<core::HostName> &FleetLookup::rankedHosts(const core::WorkspaceName &workspace)
+void FleetLookup::appendHomes(std::vector<const settings::Host *> &chosen,
+                              const core::WorkspaceName &workspace) const
 {
-    const auto known = this->ranked.find(workspace);
-    if (known != this->ranked.end()) {
-        return known->second;
+    if (!this->findHomes) {
+        return;
     }
-    if (this->ranked.size() >= MaxRememberedWorkspaces) {
-        this->ranked.clear();
+    for (const core::HostName &home : this->findHomes(workspace)) {
+        const auto found = std::ranges::lower_bound(this->hosts, home, {}, &settings::Host::name);
+        const bool isServing = found != this->hosts.end() && found->name == home;
+        if (isServing && chosen.size() < MaxNamedHosts) {
+            appendOnce(chosen, *found);
+        }
+    }
+}
+
+void FleetLookup::appendOthers(std::vector<const settings::Host *> &chosen)
+{
+    const std::size_t wanted = std::min(MaxNamedHosts, this->hosts.size());
+    while (chosen.size() < wanted) {
+        std::uniform_int_distribution<std::size_t> pick(0, this->hosts.size() - 1);
+        appendOnce(chosen, this->hosts[pick(this->random)]);
     }
-    std::vector<core::HostName> names;
-    std::ranges::copy(this->hosts | std::views::keys, std::back_inserter(names));
-    std::vector<core::HostName> order = core::rankHosts(names, workspace.text());
-    order.resize(std::min(order.size(), MaxNamedHosts));
-    return this->ranked.emplace(workspace, std::move(order)).first->second;
 }
 
 } // namespace damaskgate::daemon
--- a/src/daemon/fleetlookup.h
+++ b/src/daemon/fleetlookup.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <chrono>
-#include <cstddef>
+#include <cstdint>
 #include <functional>
-#include <map>
+#include <random>
 #include <vector>
 
 #include "damaskgate/core/names.h"
@@ -22,21 +22,26 @@
     /** Gives the hosts that hold a workspace's rate, the most preferred first. */
     using HomeFinder = std::function<std::vector<core::HostName>(const core::WorkspaceName &)>;
 
+    /** @param seed of the choice among hosts that hold no part of a workspace's rate */
+    explicit FleetLookup(std::uint64_t seed);
+
     /** Replaces the hosts that take new work. */
     void setHosts(std::vector<settings::Host> hosts);
 
-    /** Sets who knows the homes of a workspace; without it the ranking alone decides. */
+    /** Sets who knows the homes of a workspace; without it every host is as good as another. */
     void setHomeFinder(HomeFinder finder);
 
     std::vector<entry::LookupEntry> rankFor(const core::WorkspaceName &workspace) override;
     std::chrono::seconds timeToLive() const override;
 
 private:
-    const std::vector<core::HostName> &rankedHosts(const core::WorkspaceName &workspace);
+    void appendHomes(std::vector<const settings::Host *> &chosen,
+                     const core::WorkspaceName &workspace) const;
+    void appendOthers(std::vector<const settings::Host *> &chosen);
 
-    std::map<core::HostName, settings::Host> hosts;
-    std::map<core::WorkspaceName, std::vector<core::HostName>> ranked; //!< cleared with the hosts
+    std::vector<settings::Host> hosts; //!< by name
     HomeFinder findHomes;
+    std::mt19937_64 random;
 };
 
 } // namespace damaskgate::daemon
--- a/src/daemon/tests/fleetlookup_test.cpp
+++ b/src/daemon/tests/fleetlookup_test.cpp
@@ -1,6 +1,7 @@
 #include "fleetlookup.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,7 @@
 TEST(FleetLookup_Tests, RankFor_HostLeft_IsNoLongerNamed)
 {
     // [GIVEN] A look-up that names some of eight hosts
-    daemon::FleetLookup lookup;
+    daemon::FleetLookup lookup(1);
     std::vector<settings::Host> hosts = makeHosts(8);
     lookup.setHosts(hosts);
     const core::WorkspaceName workspace("school");
@@ -44,7 +45,7 @@
 TEST(FleetLookup_Tests, RankFor_HomesKnown_AreNamedFirstAndOnce)
 {
     // [GIVEN] A workspace whose rate is held by two hosts, one of them gone
-    daemon::FleetLookup lookup;
+    daemon::FleetLookup lookup(1);
     lookup.setHosts(makeHosts(8));
     lookup.setHomeFinder([](const core::WorkspaceName &) {
         return std::vector { core::HostName("h5"), core::HostName("gone"), core::HostName("h2") };
@@ -59,3 +60,19 @@
     EXPECT_EQ(entries[1].host, core::HostName("h2"));
     EXPECT_EQ(std::ranges::count(entries, core::HostName("h2"), &entry::LookupEntry::host), 1);
 }
+
+TEST(FleetLookup_Tests, RankFor_OpenRoutes_SpreadsCallersOverAllHosts)
+{
+    // [GIVEN] A look-up over eight hosts
+    daemon::FleetLookup lookup(1);
+    lookup.setHosts(makeHosts(8));
+
+    // [WHEN] Many callers without a key ask
+    std::set<core::HostName> first;
+    for (int caller = 0; caller < 100; ++caller) {
+        first.insert(lookup.rankFor(core::WorkspaceName()).front().host);
+    }
+
+    // [THEN] Each host is named first to some of them
+    EXPECT_EQ(first.size(), 8U);
+}
