--- a/src/balance/coldledger.cpp
+++ b/src/balance/coldledger.cpp
@@ -206,7 +206,7 @@
 
 bool ColdLedger::haveAllHostsAnswered(const State &state, core::Instant now) const
 {
-    const auto mayBeUsing = [this, now](const Loan &loan) {
+    const auto mayBeUsing = [now](const Loan &loan) {
         const bool isTakenAsWarm = loan.isWarm || loan.warmSequence > loan.appliedSequence;
         return (!loan.isHeard || isTakenAsWarm) && now < loan.toldEnd;
     };
--- a/src/balance/servicequeue.cpp
+++ b/src/balance/servicequeue.cpp
@@ -132,7 +132,7 @@
     const auto own = this->flows.find(key);
     const std::size_t queued = own == this->flows.end() ? 0 : own->second.requests.size();
     const double share = static_cast<double>(queued) / std::max<std::uint32_t>(weight, 1);
-    double ahead = static_cast<double>(queued);
+    auto ahead = static_cast<double>(queued);
     for (const auto &[otherKey, flow] : this->flows) {
         if (otherKey == key || (otherKey.isDeferrable && !key.isDeferrable)) {
             continue;
--- a/src/health/benchmarks/detection.cpp
+++ b/src/health/benchmarks/detection.cpp
@@ -376,7 +376,7 @@
     void tick() override
     {
         const int slot = this->tickCount++ % 5;
-        for (std::size_t i = static_cast<std::size_t>(slot); i < HostCount; i += 5) {
+        for (auto i = static_cast<std::size_t>(slot); i < HostCount; i += 5) {
             this->report(i);
         }
         if (slot != 0) {
