--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "damaskgate/limits/limiterservice.h"
 #include "damaskgate/metrics/operatorserver.h"
 #include "damaskgate/metrics/registry.h"
 #include "damaskgate/peer/incarnation.h"
@@ -22,7 +23,7 @@
 #include "controlplane.h"
 #include "dataplane.h"
 #include "functionpart.h"
-#include "openadmission.h"
+#include "upstreamplane.h"
 
 namespace damaskgate::daemon {
 
@@ -49,6 +50,7 @@
     void finish(ExitCode code);
     nlohmann::json describeSettings() const;
     nlohmann::json describeMembers() const;
+    nlohmann::json describeTraffic() const;
     nlohmann::json describeParts() const;
 
     settings::HostSettings host;
@@ -59,8 +61,9 @@
     metrics::Registry registry;
     ServingGate gate;
     ControlPlane control;
-    OpenAdmission admission;
+    limits::LimiterService limiter;
     DataPlane data;
+    UpstreamPlane upstreams;
     metrics::OperatorServer operatorServer;
     supervise::AsioScheduler scheduler;
     supervise::Supervisor root;
@@ -75,9 +78,15 @@
       events(timeline::EventLogOptions { host.name, this->incarnation, commandLine.logFile }),
       gate(this->clock),
       control({ this->context, this->clock, this->events, this->gate }, host, this->incarnation),
+      limiter(lease::HolderId { host.name, this->incarnation }, this->control.leases(), this->clock,
+              this->control.network(), this->events,
+              [this](std::function<void()> task) { this->data.post(std::move(task)); }),
       data({ this->clock, this->control.settingsStore(), this->events, this->registry, this->gate,
-             this->admission },
+             this->limiter },
            host, this->incarnation),
+      upstreams({ this->context, this->clock, this->events, this->control.network(),
+                  this->control.leases(), this->data },
+                host.name, this->incarnation),
       operatorServer(this->context, this->registry), scheduler(this->context),
       root({ "root", supervise::Strategy::RestForOne, {} }, this->scheduler, this->clock,
            this->events),
@@ -89,12 +98,20 @@
 
 void Daemon::Impl::connectParts()
 {
-    this->control.settingsStore().addListener(
-        [this](const settings::SettingsPtr &settings) { this->data.applySettings(settings); });
+    this->control.settingsStore().addListener([this](const settings::SettingsPtr &settings) {
+        this->data.applySettings(settings);
+        this->limiter.applySettings(settings);
+        this->upstreams.applySettings(settings);
+    });
+    this->data.addTickTask([this] { this->limiter.tick(); });
+    this->data.lookup().setHomeFinder([this](const core::WorkspaceName &workspace) {
+        return this->control.leases().homes(limits::partitionOf(workspace));
+    });
     this->control.setLiveHostsListener(
         [this](std::vector<settings::Host> hosts) { this->data.applyLiveHosts(std::move(hosts)); });
     this->operatorServer.addStatus("settings", [this] { return this->describeSettings(); });
     this->operatorServer.addStatus("members", [this] { return this->describeMembers(); });
+    this->operatorServer.addStatus("traffic", [this] { return this->describeTraffic(); });
     this->operatorServer.addStatus("parts", [this] { return this->describeParts(); });
     this->operatorServer.setEvents(
         [this](std::size_t limit) { return this->events.latest(limit); });
@@ -112,6 +129,18 @@
                             },
                             [this] { this->control.halt(); },
                         }));
+    this->root.addChild("upstreams",
+                        std::make_unique<FunctionPart>(FunctionPart::Functions {
+                            [this]() -> core::Result<void> {
+                                this->upstreams.start();
+                                return {};
+                            },
+                            [this](const std::function<void()> &done) {
+                                this->upstreams.stop();
+                                done();
+                            },
+                            [this] { this->upstreams.stop(); },
+                        }));
     this->root.addChild("data",
                         std::make_unique<FunctionPart>(FunctionPart::Functions {
                             [this] { return this->data.start(); },
@@ -226,6 +255,15 @@
     return { { "live", live } };
 }
 
+nlohmann::json Daemon::Impl::describeTraffic() const
+{
+    const peer::PeerTraffic traffic = this->control.network().traffic();
+    return { { "sent_datagrams", traffic.sentDatagrams },
+             { "sent_bytes", traffic.sentBytes },
+             { "received_datagrams", traffic.receivedDatagrams },
+             { "received_bytes", traffic.receivedBytes } };
+}
+
 nlohmann::json Daemon::Impl::describeParts() const
 {
     nlohmann::json parts = nlohmann::json::array();
--- a/src/limits/include/damaskgate/limits/limitermachine.h
+++ b/src/limits/include/damaskgate/limits/limitermachine.h
@@ -94,6 +94,7 @@
         std::uint32_t epoch = 0;
         bool hasHandover = false;
         std::deque<Waiter> waiters;
+        bool isEnded = false; //!< its holding had ended when that was last looked at
     };
 
     struct PendingHandover
@@ -147,6 +148,7 @@
     std::unordered_map<std::uint64_t, std::uint64_t> ticketOfAsk;
     std::unordered_map<core::WorkspaceName, Bucket> buckets;
     std::unordered_map<core::WorkspaceName, PendingHandover> handovers;
+    std::map<lease::PartitionId, core::HostName> holders; //!< that answered last
     std::map<lease::PartitionId, core::Instant> releasing; //!< when the last lent token is void
     core::Instant nextRemoval;
     LimiterActions actions;
--- a/src/limits/limitermachine.cpp
+++ b/src/limits/limitermachine.cpp
@@ -118,6 +118,12 @@
         attempt.retryAt = now;
         return;
     }
+    const lease::PartitionId partition = partitionOf(attempt.workspace);
+    if (reply.outcome == TakeOutcome::NotHolder) {
+        this->holders.erase(partition);
+    } else {
+        this->holders[partition] = attempt.asked;
+    }
     if (reply.outcome == TakeOutcome::Granted) {
         this->decide(ticket, {});
         return;
@@ -129,7 +135,9 @@
     const bool isNews = !reply.holder.isEmpty() && reply.holder != attempt.asked;
     attempt.hint = isNews ? reply.holder : core::HostName();
     attempt.retryAt = now + (isNews ? core::Duration {} : this->policy.retryDelay);
-    if (isNews && attempt.unanswered++ == 0) {
+    // Without news the next home is asked, so that a wrong hint is not followed for ever.
+    const bool isFirst = attempt.unanswered++ == 0;
+    if (isNews && isFirst) {
         this->advance(ticket, now);
     }
 }
@@ -176,8 +184,11 @@
 void LimiterMachine::redirect(std::deque<Waiter> waiters, core::Instant now)
 {
     for (const Waiter &waiter : waiters) {
-        if (waiter.ticket != 0) {
+        // A request that gave up meanwhile leaves its waiter behind.
+        if (this->attempts.contains(waiter.ticket)) {
             this->advance(waiter.ticket, now);
+        }
+        if (waiter.ticket != 0) {
             continue;
         }
         this->send(
@@ -232,6 +243,7 @@
     if (attempt.askId != 0) {
         ++attempt.unanswered;
         attempt.hint = {};
+        this->holders.erase(partitionOf(attempt.workspace));
         this->actions.demands.push_back(partitionOf(attempt.workspace));
         if (this->guards.voidsLateReplies) {
             this->ticketOfAsk.erase(attempt.askId);
@@ -301,7 +313,8 @@
     }
     const lease::PartitionId partition = partitionOf(attempt.workspace);
     if (attempt.unanswered == 0) {
-        return this->leases.holderHint(partition);
+        const auto known = this->holders.find(partition);
+        return known == this->holders.end() ? this->leases.holderHint(partition) : known->second;
     }
     const auto homes = this->leases.homes(partition);
     if (homes.empty()) {
@@ -420,7 +433,8 @@
 {
     const auto holding = this->leases.holding(partitionOf(workspace), now);
     if (!holding || holding->epoch != bucket.epoch) {
-        return true;
+        //! NOTE onReleasing() may still come for a holding that was just given up.
+        return std::exchange(bucket.isEnded, true);
     }
     const settings::Workspace *known = this->find(workspace);
     if (known == nullptr || !bucket.waiters.empty() || !bucket.tokens.isIdle(now)) {
@@ -470,7 +484,7 @@
     auto &bucket =
         this->buckets
             .emplace(workspace.name,
-                     Bucket { std::move(tokens), holding.epoch, false, std::move(waiters) })
+                     Bucket { std::move(tokens), holding.epoch, false, std::move(waiters), false })
             .first->second;
     const auto handover = this->handovers.find(workspace.name);
     if (handover != this->handovers.end()) {
