--- a/tests/search/tests/fleetsimulation_test.cpp
+++ b/tests/search/tests/fleetsimulation_test.cpp
@@ -46,7 +46,17 @@
     EXPECT_TRUE(isFound);
 }
 
-INSTANTIATE_TEST_SUITE_P(Guards, GuardTests,
-                         testing::Values(GuardCase {
-                             "StartsEmpty", [](Guards &g) { g.limits.startsEmpty = false; }, 1 }),
-                         [](const auto &info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Guards, GuardTests,
+    testing::Values(
+        GuardCase { "StartsEmpty", [](Guards &g) { g.limits.startsEmpty = false; }, 1 },
+        GuardCase { "DebitsBeforeTelling", [](Guards &g) { g.limits.debitsBeforeTelling = false; },
+                    1 },
+        GuardCase { "ChecksAtUse", [](Guards &g) { g.lease.checksAtUse = false; }, 5 },
+        GuardCase { "NeedsBothRosters", [](Guards &g) { g.lease.needsBothRosters = false; }, 6 },
+        GuardCase { "ReservesTokensInUse", [](Guards &g) { g.limits.reservesTokensInUse = false; },
+                    11 },
+        GuardCase { "WaitsAfterStart", [](Guards &g) { g.lease.waitsAfterStart = false; }, 2 },
+        GuardCase { "RateDrift", [](Guards &g) { g.limits.allowsForDrift = false; }, 6 },
+        GuardCase { "VoidsLateReplies", [](Guards &g) { g.limits.voidsLateReplies = false; }, 28 }),
+    [](const auto &info) { return info.param.name; });
