--- a/src/ctl/tests/commands_test.cpp
+++ b/src/ctl/tests/commands_test.cpp
@@ -22,10 +22,10 @@
 
 const fs::path Examples = DAMASKGATE_EXAMPLES;
 
-class Commands_Tests : public testing::Test
+class CommandsFixture : public testing::Test
 {
 protected:
-    Commands_Tests()
+    CommandsFixture()
         : target(fs::path(testing::TempDir())
                  / testing::UnitTest::GetInstance()->current_test_info()->name())
     {
@@ -33,7 +33,7 @@
         fs::create_directories(this->target);
     }
 
-    ~Commands_Tests() override
+    ~CommandsFixture() override
     {
         fs::remove_all(this->target);
     }
@@ -61,8 +61,9 @@
     Output output { out, err };
 };
 
-class Examples_Hosts : public testing::TestWithParam<std::string>
-{};
+using Commands_Tests = CommandsFixture;
+
+using Examples_Hosts = testing::TestWithParam<std::string>;
 
 } // namespace
 
--- a/src/platform/tests/platformreader_test.cpp
+++ b/src/platform/tests/platformreader_test.cpp
@@ -47,17 +47,17 @@
     int answers = 0;
 };
 
-class PlatformReader_Tests : public testing::Test
+class PlatformReaderFixture : public testing::Test
 {
 protected:
-    PlatformReader_Tests() : store(events)
+    PlatformReaderFixture() : store(events)
     {
         this->server = std::make_unique<standins::PlatformServer>(
             this->context, standins::PlatformServerOptions {});
         this->server->start();
     }
 
-    ~PlatformReader_Tests() override
+    ~PlatformReaderFixture() override
     {
         this->reader->stop();
         this->server->stop();
@@ -128,6 +128,8 @@
     std::unique_ptr<PlatformReader> reader;
 };
 
+using PlatformReader_Tests = PlatformReaderFixture;
+
 } // namespace
 
 TEST_F(PlatformReader_Tests, Start_PublishedTree_ComesIntoForceAndFollowsChanges)
@@ -182,10 +184,12 @@
     return stream << given.name;
 }
 
-class PlatformReader_Faults : public PlatformReader_Tests,
-                              public testing::WithParamInterface<PlatformFault>
+class PlatformReaderFaultFixture : public PlatformReaderFixture,
+                                   public testing::WithParamInterface<PlatformFault>
 {};
 
+using PlatformReader_Faults = PlatformReaderFaultFixture;
+
 } // namespace
 
 TEST_P(PlatformReader_Faults, Watch_FaultThatEnds_KeepsLastGoodAndCatchesUp)
--- a/src/platform/tests/watchduty_test.cpp
+++ b/src/platform/tests/watchduty_test.cpp
@@ -43,8 +43,7 @@
     { "Target", 5900, 10, 30 },
 };
 
-class WatchDuty_Fleets : public testing::TestWithParam<FleetCase>
-{};
+using WatchDuty_Fleets = testing::TestWithParam<FleetCase>;
 
 } // namespace
 
--- a/src/relay/tests/settingsrelay_test.cpp
+++ b/src/relay/tests/settingsrelay_test.cpp
@@ -33,10 +33,10 @@
     SettingsRelay relay;
 };
 
-class SettingsRelay_Tests : public testing::Test
+class SettingsRelayFixture : public testing::Test
 {
 protected:
-    SettingsRelay_Tests() : server(context), client(context) {}
+    SettingsRelayFixture() : server(context), client(context) {}
 
     //! Runs the control thread until the fetch is done.
     core::Result<settings::OfferResult> fetch(std::uint16_t port, const settings::Revision &wanted)
@@ -57,6 +57,8 @@
     RelayHost client;
 };
 
+using SettingsRelay_Tests = SettingsRelayFixture;
+
 } // namespace
 
 TEST_F(SettingsRelay_Tests, Fetch_HigherRevision_IsInForceAfterwards)
--- a/src/settings/tests/freshnessguard_test.cpp
+++ b/src/settings/tests/freshnessguard_test.cpp
@@ -46,8 +46,7 @@
     { "JustBeforeTheLimit", 2999ms, std::nullopt, 3, true },
 };
 
-class FreshnessGuard_Table : public testing::TestWithParam<FreshnessCase>
-{};
+using FreshnessGuard_Table = testing::TestWithParam<FreshnessCase>;
 
 } // namespace
 
--- a/src/settings/tests/hostsettings_test.cpp
+++ b/src/settings/tests/hostsettings_test.cpp
@@ -52,8 +52,7 @@
     { "UnknownLogLevel", R"({"logLevel":"loud"})", "/logLevel" },
 };
 
-class HostSettings_Faults : public testing::TestWithParam<HostCase>
-{};
+using HostSettings_Faults = testing::TestWithParam<HostCase>;
 
 } // namespace
 
--- a/src/settings/tests/revisiongate_test.cpp
+++ b/src/settings/tests/revisiongate_test.cpp
@@ -34,8 +34,7 @@
     { "SameNumberLowerHash", Five, { 5, "aa" }, Decision::Older },
 };
 
-class RevisionGate_Table : public testing::TestWithParam<GateCase>
-{};
+using RevisionGate_Table = testing::TestWithParam<GateCase>;
 
 } // namespace
 
--- a/src/settings/tests/settingsstore_test.cpp
+++ b/src/settings/tests/settingsstore_test.cpp
@@ -29,10 +29,12 @@
     return bundle;
 }
 
+//! The damage leaves JSON that would pass every other check.
 BundlePtr withADamagedBranch(const BundlePtr &whole)
 {
     auto bundle = std::make_shared<SettingsBundle>(*whole);
-    bundle->branches.begin()->second = std::make_shared<const std::string>("{}");
+    BranchText &text = bundle->branches.begin()->second;
+    text = std::make_shared<const std::string>(*text + " ");
     return bundle;
 }
 
@@ -207,8 +209,7 @@
     { "UnknownField", R"({"format":1,"revision":1,"branches":{},"note":1})", "/note" },
 };
 
-class Manifest_Faults : public testing::TestWithParam<ManifestCase>
-{};
+using Manifest_Faults = testing::TestWithParam<ManifestCase>;
 
 } // namespace
 
--- a/src/settings/tests/settingstree_test.cpp
+++ b/src/settings/tests/settingstree_test.cpp
@@ -134,8 +134,7 @@
     };
 }
 
-class SettingsTree_Faults : public testing::TestWithParam<FaultCase>
-{};
+using SettingsTree_Faults = testing::TestWithParam<FaultCase>;
 
 bool matches(const Finding &finding, const FaultCase &fault)
 {
--- a/src/settings/tests/startgate_test.cpp
+++ b/src/settings/tests/startgate_test.cpp
@@ -41,8 +41,7 @@
     { "WholeFleetStartsTogether", New, std::nullopt, true, 1s, true },
 };
 
-class StartGate_Table : public testing::TestWithParam<StartCase>
-{};
+using StartGate_Table = testing::TestWithParam<StartCase>;
 
 } // namespace
 
