--- a/src/lease/roster.cpp
+++ b/src/lease/roster.cpp
@@ -73,8 +73,8 @@
     std::vector<core::DomainName> domains;
     std::ranges::transform(hosts, std::back_inserter(domains), &RosterHost::domain);
     std::ranges::sort(domains);
-    const auto repeated = std::ranges::unique(domains);
-    return domains.size() - repeated.size();
+    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
+    return domains.size();
 }
 
 std::uint64_t hashRoster(std::span<const RosterHost> hosts, std::span<const RosterHost> previous)
--- a/src/limits/include/damaskgate/limits/limitermachine.h
+++ b/src/limits/include/damaskgate/limits/limitermachine.h
@@ -129,7 +129,7 @@
                          core::Instant now);
     void acceptHandover(Bucket &bucket, const lease::Holding &holding,
                         const PendingHandover &handover, core::Instant now) const;
-    void redirect(std::deque<Waiter> waiters, core::Instant now);
+    void redirect(const std::deque<Waiter> &waiters, core::Instant now);
     void decide(std::uint64_t ticket, core::Result<void> result);
     void refuse(std::uint64_t ticket, core::Reason reason, std::string detail,
                 core::Duration retryAfter);
--- a/src/limits/limitermachine.cpp
+++ b/src/limits/limitermachine.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <string>
 #include <utility>
 
@@ -177,11 +176,11 @@
     }
     const bool waits = this->guards.waitsBeforeRelease;
     this->releasing[partition] = waits ? lentUntil : now;
-    this->redirect(std::move(waiters), now);
+    this->redirect(waiters, now);
     this->tick(now);
 }
 
-void LimiterMachine::redirect(std::deque<Waiter> waiters, core::Instant now)
+void LimiterMachine::redirect(const std::deque<Waiter> &waiters, core::Instant now)
 {
     for (const Waiter &waiter : waiters) {
         // A request that gave up meanwhile leaves its waiter behind.
@@ -212,7 +211,9 @@
         }
     }
     std::vector<std::uint64_t> tickets;
-    std::ranges::copy(this->attempts | std::views::keys, std::back_inserter(tickets));
+    tickets.reserve(this->attempts.size());
+    std::ranges::transform(this->attempts, std::back_inserter(tickets),
+                           [](const auto &entry) { return entry.first; });
     for (const std::uint64_t ticket : tickets) {
         this->tickAttempt(ticket, now);
     }
@@ -417,7 +418,7 @@
             this->buckets.erase(current);
         }
     }
-    this->redirect(std::move(waiters), now);
+    this->redirect(waiters, now);
     std::erase_if(this->handovers, [this, now](const auto &entry) {
         return now >= entry.second.receivedAt + this->policy.handoverMemory;
     });
--- a/src/limits/tests/limitermachine_test.cpp
+++ b/src/limits/tests/limitermachine_test.cpp
@@ -48,7 +48,7 @@
         this->machine.applySettings(settings, this->now);
     }
 
-    void hold(core::Duration validFor, std::optional<lease::HoldingId> predecessor = {})
+    void hold(core::Duration validFor, const std::optional<lease::HoldingId> &predecessor = {})
     {
         this->leases.held = { 1, this->now, this->now + validFor, predecessor };
     }
--- a/src/peer/udppeernetwork.cpp
+++ b/src/peer/udppeernetwork.cpp
@@ -20,8 +20,8 @@
 class UdpPeerNetwork::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
-    Impl(asio::any_io_executor executor, PeerIdentity identity, core::IEventSink &events)
-        : identity(std::move(identity)), events(events), socket(std::move(executor))
+    Impl(const asio::any_io_executor &executor, PeerIdentity identity, core::IEventSink &events)
+        : identity(std::move(identity)), events(events), socket(executor)
     {}
 
     core::Result<std::uint16_t> start(const std::string &address, std::uint16_t port);
