settings, platform, relay: findings of the linter

Not mended: modernize-loop-convert in fieldvalue.cpp (reverse iteration), bugprone-suspicious-semicolon in fetchoperation.cpp (a macro of KJ), modernize-use-nullptr in defaulted operator<=> of core.

--- a/src/platform/watchduty.cpp
+++ b/src/platform/watchduty.cpp
@@ -60,7 +60,7 @@
     const double watchSeconds = std::chrono::duration<double>(this->limits.watch).count();
     const double watchCalls = static_cast<double>(watchers) * KeysFollowed / watchSeconds;
     const double callsLeft = std::max(this->limits.callsPerSecond - watchCalls, 1.0);
-    const double pollers = static_cast<double>(hosts - std::min(hosts, watchers));
+    const auto pollers = static_cast<double>(hosts - std::min(hosts, watchers));
     const double pauseSeconds = pollers * KeysFollowed / callsLeft;
     const auto pause =
         std::chrono::milliseconds(static_cast<std::int64_t>(std::ceil(pauseSeconds * 1000)));
--- a/src/relay/settingsrelay.cpp
+++ b/src/relay/settingsrelay.cpp
@@ -110,7 +110,7 @@
         }
         this->fetching = request.revision;
         auto finish = [self = this->shared_from_this(), revision = request.revision, host,
-                       done = std::move(done)](core::Result<settings::BundlePtr> fetched) {
+                       done = std::move(done)](const core::Result<settings::BundlePtr> &fetched) {
             self->onFetched(revision, host, fetched, done);
         };
         this->thread.post([this, request = std::move(request),
--- a/src/settings/settingsstore.cpp
+++ b/src/settings/settingsstore.cpp
@@ -1,7 +1,7 @@
 #include "damaskgate/settings/settingsstore.h"
 
 #include <algorithm>
-#include <ranges>
+#include <span>
 #include <utility>
 
 #include "damaskgate/settings/manifest.h"
@@ -15,7 +15,8 @@
 void recordFindings(core::IEventSink &events, const Revision &revision, const Findings &findings,
                     std::string_view source)
 {
-    for (const Finding &finding : findings | std::views::take(LoggedFindings)) {
+    const std::size_t logged = std::min(findings.size(), LoggedFindings);
+    for (const Finding &finding : std::span(findings).first(logged)) {
         events.record({ "settings-refused",
                         { { "revision", revision.number },
                           { "hash", std::string_view(revision.hash) },
