--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -33,7 +33,7 @@
     }
     for (const auto &[key, value] : object.items()) {
         if (!known.contains(key)) {
-            throw FieldError { where + ": unknown field " + key };
+            throw FieldError { std::string(where).append(": unknown field ").append(key) };
         }
     }
 }
@@ -118,7 +118,7 @@
 {
     const std::string where = "phases.mix";
     checkFields(item, where, { "workspace", "route", "per_second" });
-    const double perSecond = required<double>(item, where, "per_second");
+    const auto perSecond = required<double>(item, where, "per_second");
     if (perSecond <= 0) {
         throw FieldError { where + ": per_second must be above zero" };
     }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -26,7 +26,7 @@
     const auto millis = [&stream](double fraction) {
         return stream.latency.quantile(fraction) * MillisPerSecond;
     };
-    const double good = static_cast<double>(stream.latency.count());
+    const auto good = static_cast<double>(stream.latency.count());
     return { { "phase", key.phase },
              { "workspace", key.workspace },
              { "route", key.route },
--- a/src/supervise/supervisor.cpp
+++ b/src/supervise/supervisor.cpp
@@ -1,7 +1,6 @@
 #include "damaskgate/supervise/supervisor.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace damaskgate::supervise {
@@ -92,12 +91,13 @@
 
 void Supervisor::haltFrom(std::size_t first)
 {
-    for (Child &child : this->children | std::views::drop(first) | std::views::reverse) {
+    const auto end = this->children.rend() - static_cast<std::ptrdiff_t>(first);
+    std::for_each(this->children.rbegin(), end, [](Child &child) {
         ++child.run;
         if (std::exchange(child.isRunning, false)) {
             child.part->halt();
         }
-    }
+    });
 }
 
 void Supervisor::onChildExit(std::size_t index, std::uint64_t run, ExitKind kind,
