health: one report a second while nothing is exchanged

Cause: every host reported each service every 250 ms, also when it had exchanged nothing, so that the answers keep the list of ejections in force (2 s). An idle report a second does that as well. HealthMonitor_Tests: 10 reports in 10 s idle, 40 before; busy unchanged at 40.

--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -43,6 +43,7 @@
     };
     std::erase_if(this->views, isRemoved);
     std::erase_if(this->owned, isRemoved);
+    std::erase_if(this->reportSentAt, isRemoved);
     for (const auto &[name, service] : this->settings->services) {
         this->views[name].applyFloor(Floor(*this->settings, service));
         this->applyEjections(name);
@@ -69,6 +70,12 @@
 
 void HealthMonitor::sendReport(EvidenceReport report)
 {
+    const core::Instant now = this->clock.now();
+    core::Instant &lastSent = this->reportSentAt[report.service];
+    if (report.endpoints.empty() && now < lastSent + IdleReportInterval) {
+        return;
+    }
+    lastSent = now;
     EvidenceReport part { report.service, 0, {}, std::move(report.latencies) };
     for (EndpointEvidence &evidence : report.endpoints) {
         part.endpoints.push_back(std::move(evidence));
--- a/src/health/include/damaskgate/health/healthmessages.h
+++ b/src/health/include/damaskgate/health/healthmessages.h
@@ -49,6 +49,7 @@
 };
 
 constexpr std::chrono::milliseconds ReportInterval { 250 };
+constexpr std::chrono::milliseconds IdleReportInterval { 1000 }; //!< without exchanges
 constexpr std::chrono::milliseconds EjectionTime { 2000 };
 constexpr std::chrono::milliseconds ClockDriftMargin { 20 }; //!< over one EjectionTime
 constexpr std::chrono::milliseconds DefaultSlowLimit { 1000 };
--- a/src/health/include/damaskgate/health/healthmonitor.h
+++ b/src/health/include/damaskgate/health/healthmonitor.h
@@ -80,6 +80,7 @@
     ReadmissionListener readmissionListener;
     settings::SettingsPtr settings;
     std::map<core::ServiceName, EjectionView> views;
+    std::map<core::ServiceName, core::Instant> reportSentAt;
     std::map<core::ServiceName, Owned> owned;
 };
 
