entry, standins: lint

An unused member, a copied parameter, template arguments that clang does not deduce, and fixture classes in the case the linter asks for, with the test suites' names as aliases.

--- a/src/entry/requestbody.cpp
+++ b/src/entry/requestbody.cpp
@@ -3,7 +3,7 @@
 namespace damaskgate::entry {
 
 RequestBody::RequestBody(CallerConnection &caller, RequestParser &parser)
-    : caller(caller), parser(parser), reader(caller.socket, caller.buffer, parser)
+    : parser(parser), reader(caller.socket, caller.buffer, parser)
 {}
 
 bool RequestBody::isPresent() const
--- a/src/entry/requestbody.h
+++ b/src/entry/requestbody.h
@@ -41,7 +41,6 @@
     asio::awaitable<std::pair<error_code, std::string_view>> readNext();
 
 private:
-    CallerConnection &caller;
     RequestParser &parser;
     BodyReader<true> reader;
     std::unique_ptr<char[]> first;
--- a/src/entry/tests/badinput_test.cpp
+++ b/src/entry/tests/badinput_test.cpp
@@ -70,10 +70,10 @@
 
 } // namespace
 
-class BadInput_Tests : public EntryFixture
+class BadInputFixture : public EntryFixture
 {
 protected:
-    BadInput_Tests()
+    BadInputFixture()
     {
         this->options.headerTimeout = std::chrono::milliseconds(HeaderTimeoutMs);
         this->options.keepAliveTimeout = std::chrono::milliseconds(HeaderTimeoutMs);
@@ -81,6 +81,8 @@
     }
 };
 
+using BadInput_Tests = BadInputFixture;
+
 TEST_F(BadInput_Tests, Request_Malformed_IsRefusedAndNeverForwarded)
 {
     for (const BadInput &item : BadInputs) {
--- a/src/entry/tests/forwarding_test.cpp
+++ b/src/entry/tests/forwarding_test.cpp
@@ -3,15 +3,17 @@
 using namespace damaskgate;
 using namespace damaskgate::entry;
 
-class Forwarding_Tests : public EntryFixture
+class ForwardingFixture : public EntryFixture
 {
 protected:
-    Forwarding_Tests()
+    ForwardingFixture()
     {
         this->start();
     }
 };
 
+using Forwarding_Tests = ForwardingFixture;
+
 TEST_F(Forwarding_Tests, Request_WithKeyEverywhere_UpstreamSeesNone)
 {
     // [GIVEN] A request that carries its key in many places, and fields of the connection
--- a/src/entry/tests/outcome_test.cpp
+++ b/src/entry/tests/outcome_test.cpp
@@ -44,10 +44,10 @@
 
 } // namespace
 
-class Outcome_Tests : public EntryFixture
+class OutcomeFixture : public EntryFixture
 {
 protected:
-    Outcome_Tests()
+    OutcomeFixture()
     {
         this->start();
     }
@@ -63,6 +63,8 @@
     }
 };
 
+using Outcome_Tests = OutcomeFixture;
+
 TEST_F(Outcome_Tests, Failure_EachKind_TruthIsToldAndRetriesAreSafe)
 {
     for (const FailureCase &item : FailureCases) {
--- a/src/entry/tests/service_test.cpp
+++ b/src/entry/tests/service_test.cpp
@@ -14,10 +14,10 @@
 } // namespace
 
 /** Look-up, operations and drain. */
-class Service_Tests : public EntryFixture
+class ServiceFixture : public EntryFixture
 {
 protected:
-    Service_Tests()
+    ServiceFixture()
     {
         this->options.drainLinger = std::chrono::milliseconds(500);
         this->start();
@@ -38,7 +38,9 @@
     static const std::string KeyFields;
 };
 
-const std::string Service_Tests::KeyFields = "Damaskgate-Key: dgk-key-1\r\n";
+using Service_Tests = ServiceFixture;
+
+const std::string ServiceFixture::KeyFields = "Damaskgate-Key: dgk-key-1\r\n";
 
 TEST_F(Service_Tests, Lookup_WithOrWithoutKey_NamesEntriesAndTicket)
 {
--- a/src/routing/tests/routeindex_test.cpp
+++ b/src/routing/tests/routeindex_test.cpp
@@ -21,7 +21,8 @@
     settings.routes[route.name] = route;
 }
 
-void addWorkspace(settings::Settings &settings, const char *name, std::vector<const char *> keys)
+void addWorkspace(settings::Settings &settings, const char *name,
+                  const std::vector<const char *> &keys)
 {
     settings::Workspace workspace;
     workspace.name = core::WorkspaceName(name);
--- a/tests/standins/upstream/upstreamfaults.cpp
+++ b/tests/standins/upstream/upstreamfaults.cpp
@@ -18,17 +18,18 @@
     T UpstreamFaults::*pointer;
 };
 
-constexpr std::array Times { Member { "slow_ms", &UpstreamFaults::slow },
-                             Member { "late_ms", &UpstreamFaults::late } };
+constexpr std::array Times { Member<std::chrono::milliseconds> { "slow_ms", &UpstreamFaults::slow },
+                             Member<std::chrono::milliseconds> { "late_ms",
+                                                                 &UpstreamFaults::late } };
 
-constexpr std::array Switches { Member { "hang", &UpstreamFaults::isHanging },
-                                Member { "reset", &UpstreamFaults::isResetting },
-                                Member { "shed", &UpstreamFaults::isShedding },
-                                Member { "lie_health", &UpstreamFaults::isLyingOnHealth },
-                                Member { "fail_health", &UpstreamFaults::isHealthFailing },
-                                Member { "answer_twice", &UpstreamFaults::isAnsweringTwice },
-                                Member { "answer_other", &UpstreamFaults::isAnsweringOther },
-                                Member { "cut", &UpstreamFaults::isCutting } };
+constexpr std::array Switches { Member<bool> { "hang", &UpstreamFaults::isHanging },
+                                Member<bool> { "reset", &UpstreamFaults::isResetting },
+                                Member<bool> { "shed", &UpstreamFaults::isShedding },
+                                Member<bool> { "lie_health", &UpstreamFaults::isLyingOnHealth },
+                                Member<bool> { "fail_health", &UpstreamFaults::isHealthFailing },
+                                Member<bool> { "answer_twice", &UpstreamFaults::isAnsweringTwice },
+                                Member<bool> { "answer_other", &UpstreamFaults::isAnsweringOther },
+                                Member<bool> { "cut", &UpstreamFaults::isCutting } };
 
 bool applyOne(UpstreamFaults &faults, std::string_view name, const json &value)
 {
