--- a/src/peer/include/damaskgate/peer/udppeernetwork.h
+++ b/src/peer/include/damaskgate/peer/udppeernetwork.h
@@ -46,7 +46,7 @@
 class UdpPeerNetwork final : public IPeerNetwork
 {
 public:
-    UdpPeerNetwork(boost::asio::any_io_executor executor, PeerIdentity identity,
+    UdpPeerNetwork(const boost::asio::any_io_executor &executor, PeerIdentity identity,
                    core::IEventSink &events);
     ~UdpPeerNetwork() override;
 
--- a/src/peer/udppeernetwork.cpp
+++ b/src/peer/udppeernetwork.cpp
@@ -209,9 +209,9 @@
     return this->fault != nullptr && this->fault->dropsFrom(from);
 }
 
-UdpPeerNetwork::UdpPeerNetwork(asio::any_io_executor executor, PeerIdentity identity,
+UdpPeerNetwork::UdpPeerNetwork(const asio::any_io_executor &executor, PeerIdentity identity,
                                core::IEventSink &events)
-    : impl(std::make_shared<Impl>(std::move(executor), std::move(identity), events))
+    : impl(std::make_shared<Impl>(executor, std::move(identity), events))
 {}
 
 UdpPeerNetwork::~UdpPeerNetwork()
