--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,7 +1,11 @@
 #include <iostream>
+#include <optional>
+#include <string>
 
 #include <CLI/CLI.hpp>
 
+#include "damaskgate/timeline/timeline.h"
+
 #include "commands.h"
 
 namespace {
@@ -10,6 +14,13 @@
 using damaskgate::ctl::Output;
 using damaskgate::ctl::PackOptions;
 
+//! Times on the command line, as they stand in the `hlc` field of event lines.
+struct TimelineTimes
+{
+    std::string from;
+    std::string until;
+};
+
 //! What the command line asked for.
 struct Request
 {
@@ -17,6 +28,8 @@
     std::string otherDirectory;
     std::string entry;
     PackOptions pack;
+    damaskgate::timeline::TimelineCommand timeline;
+    TimelineTimes timelineTimes;
     std::function<ExitCode(const Output &)> run;
 };
 
@@ -95,6 +108,42 @@
         });
 }
 
+std::optional<damaskgate::timeline::HybridTime> parseTime(const std::string &option,
+                                                          const std::string &text)
+{
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    const auto time = damaskgate::timeline::parseHybridTime(text);
+    if (!time) {
+        throw CLI::ValidationError(option, time.error().detail);
+    }
+    return *time;
+}
+
+void addTimeline(CLI::App &app, Request &request)
+{
+    CLI::App *command = app.add_subcommand("timeline", "merge the events of several processes");
+    damaskgate::timeline::TimelineCommand &timeline = request.timeline;
+    TimelineTimes &times = request.timelineTimes;
+    command->add_option("FILE", timeline.paths, "event logs; - is the standard input")->required();
+    command->add_option("--trace", timeline.filter.trace, "only events of this trace id");
+    command->add_option("--host", timeline.filter.host, "only events of this host");
+    command->add_option("--event", timeline.filter.event, "only events of this name");
+    command->add_option("--from", times.from, "hybrid time of the first event");
+    command->add_option("--until", times.until, "hybrid time after the last event");
+    command->add_flag("--page", timeline.asPage, "write a page instead of text");
+    command->add_option("--out", timeline.output, "file to write; the standard output if absent");
+    command->callback([&request, &times] {
+        request.timeline.filter.from = parseTime("--from", times.from);
+        request.timeline.filter.until = parseTime("--until", times.until);
+        request.run = [&request](const Output &output) {
+            const int code = runCommand(request.timeline, output.out, output.err);
+            return code == 0 ? ExitCode::Ok : ExitCode::Unavailable;
+        };
+    });
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -108,6 +157,7 @@
     addPack(app, request);
     addKey(app, request);
     addDiff(app, request);
+    addTimeline(app, request);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
