daemon: exchanges end before the balancer that they give their slots back to

Cause: a stop at once ended the data thread with exchanges suspended; their frames were destroyed with the io_context, after the balancer, and released slots into it. The data thread now ends when no connection is left (2 s at most). The end-to-end test sends the second signal with work running; it was not run against the old code.

--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -108,6 +108,11 @@
     return this->store;
 }
 
+const settings::SettingsStore &ControlPlane::settingsStore() const
+{
+    return this->store;
+}
+
 lease::LeaseService &ControlPlane::leases()
 {
     return this->leasing;
--- a/src/daemon/controlplane.h
+++ b/src/daemon/controlplane.h
@@ -57,6 +57,7 @@
     void setLiveHostsListener(LiveHostsListener listener);
 
     settings::SettingsStore &settingsStore();
+    const settings::SettingsStore &settingsStore() const;
     lease::LeaseService &leases();
     peer::UdpPeerNetwork &network();
     const peer::UdpPeerNetwork &network() const;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -238,8 +238,7 @@
 
 nlohmann::json Daemon::Impl::describeSettings() const
 {
-    const settings::SettingsPtr settings =
-        const_cast<ControlPlane &>(this->control).settingsStore().current();
+    const settings::SettingsPtr settings = this->control.settingsStore().current();
     if (!settings) {
         return nullptr;
     }
--- a/src/daemon/dataplane.cpp
+++ b/src/daemon/dataplane.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod { 5 };
+constexpr std::chrono::milliseconds HaltCheckPeriod { 10 };
+constexpr int HaltChecks = 200;
 
 entry::EntryOptions optionsFor(const settings::HostSettings &host, std::uint64_t incarnation)
 {
@@ -24,9 +26,9 @@
 
 DataPlane::DataPlane(const Dependencies &dependencies, const settings::HostSettings &host,
                      std::uint64_t incarnation)
-    : workGuard(boost::asio::make_work_guard(this->context)), tickTimer(this->context), host(host),
-      balancing(dependencies.clock, incarnation), fleetLookup(incarnation),
-      recorder(dependencies.registry, dependencies.events),
+    : workGuard(boost::asio::make_work_guard(this->context)), tickTimer(this->context),
+      haltTimer(this->context), host(host), balancing(dependencies.clock, incarnation),
+      fleetLookup(incarnation), recorder(dependencies.registry, dependencies.events),
       server(this->context,
              entry::EntryDependencies {
                  dependencies.clock, dependencies.settings, dependencies.admission, this->balancing,
@@ -62,7 +64,7 @@
     }
     this->post([this] {
         this->server.stop();
-        this->context.stop();
+        this->stopWhenEmpty(HaltChecks);
     });
     this->thread.join();
 }
@@ -112,6 +114,19 @@
     });
 }
 
+//! NOTE Exchanges release their slots when they end: they must end before the balancer does.
+void DataPlane::stopWhenEmpty(int checksLeft)
+{
+    if (this->server.connectionCount() == 0 || checksLeft == 0) {
+        this->context.stop();
+        return;
+    }
+    this->haltTimer.expires_after(HaltCheckPeriod);
+    this->haltTimer.async_wait([this, checksLeft](const boost::system::error_code & /*error*/) {
+        this->stopWhenEmpty(checksLeft - 1);
+    });
+}
+
 void DataPlane::run()
 {
     this->context.run();
--- a/src/daemon/dataplane.h
+++ b/src/daemon/dataplane.h
@@ -71,11 +71,13 @@
 
 private:
     void scheduleTick();
+    void stopWhenEmpty(int checksLeft);
     void run();
 
     boost::asio::io_context context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard;
     boost::asio::steady_timer tickTimer;
+    boost::asio::steady_timer haltTimer;
     settings::HostSettings host;
     balance::Balancer balancing;
     FleetLookup fleetLookup;
--- a/tests/e2e/fleet_test.py
+++ b/tests/e2e/fleet_test.py
@@ -211,6 +211,30 @@
         self.assertEqual([outcome for outcome in outcomes if not isinstance(outcome, int)], [])
         self.assertGreater(len(outcomes), 0)
 
+    def test_second_signal_stops_at_once_with_work_running(self):
+        # [GIVEN] Requests that run for longer than a stop at once may take
+        for name, endpoint in self.deployment.endpoints().items():
+            if name.startswith("timetable"):
+                fleet.call(endpoint["address"], endpoint["port"], "PUT", "/_faults",
+                           body=json.dumps({"hang": True}).encode())
+        threads = [threading.Thread(target=self.status, args=("sou-01", "/timetable/a", "schools"))
+                   for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+
+        # [WHEN] The host is told to stop twice
+        process = self.deployment.processes.pop("sou-01")
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        code = process.wait(WAIT_S)
+        for thread in threads:
+            thread.join()
+
+        # [THEN] It ends in order and says that it cut work
+        self.assertEqual(code, 4)
+
     def test_domain_taken_out_gets_no_new_work(self):
         # [WHEN] Operators take a failure domain out
         def change(tree):
