peer: one way to pack and read Cap'n Proto datagrams

Behaviour is the same but for one thing: a malformed message of membership is now recorded as an event, as those of the other modules are.

--- a/src/health/healthcodec.cpp
+++ b/src/health/healthcodec.cpp
@@ -1,8 +1,6 @@
 #include "healthcodec.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/io.h>
+#include "damaskgate/peer/packedmessage.h"
 
 #include "health.capnp.h"
 
@@ -10,8 +8,6 @@
 
 namespace {
 
-constexpr std::uint64_t MaxWordsRead = 4096;
-
 std::uint32_t toMicroseconds(core::Duration duration)
 {
     const auto count = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -97,26 +93,15 @@
     capnp::MallocMessageBuilder builder;
     auto root = builder.initRoot<wire::Message>();
     std::visit([&root](const auto &value) { write(root, value); }, message);
-    kj::VectorOutputStream stream;
-    capnp::writePackedMessage(stream, builder);
-    const auto bytes = stream.getArray();
-    const auto view = std::as_bytes(std::span(bytes.begin(), bytes.size()));
-    return { view.begin(), view.end() };
+    return peer::packMessage(builder);
 }
 
 core::Result<HealthMessage> decode(std::span<const std::byte> payload)
 {
-    try {
-        kj::ArrayInputStream stream(
-            { reinterpret_cast<const kj::byte *>(payload.data()), payload.size() });
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = MaxWordsRead;
-        capnp::PackedMessageReader message(stream, options);
-        const auto root = message.getRoot<wire::Message>();
-        return root.isReport() ? read(root.getReport()) : read(root.getNews());
-    } catch (const kj::Exception &) {
-        return core::notRun(core::Reason::BadRequest, "malformed health message");
-    }
+    return peer::unpackMessage<wire::Message, HealthMessage>(
+        payload, [](wire::Message::Reader root) -> core::Result<HealthMessage> {
+            return root.isReport() ? read(root.getReport()) : read(root.getNews());
+        });
 }
 
 } // namespace damaskgate::health
--- a/src/lease/leasecodec.cpp
+++ b/src/lease/leasecodec.cpp
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/io.h>
+#include "damaskgate/peer/packedmessage.h"
 
 #include "lease.capnp.h"
 
@@ -14,7 +12,6 @@
 namespace {
 
 constexpr std::size_t EntriesPerDatagram = 16;
-constexpr std::uint64_t MaxWordsRead = 4096;
 
 void writeReply(wire::Reply::Builder builder, const LeaseReply &reply)
 {
@@ -76,11 +73,7 @@
     writeAll(builder.initReleases(count(batch.releases)), batch.releases, writeRelease);
     writeAll(builder.initAsks(count(batch.asks)), batch.asks, writePartition);
     writeAll(builder.initOffers(count(batch.offers)), batch.offers, writePartition);
-    kj::VectorOutputStream stream;
-    capnp::writePackedMessage(stream, message);
-    const auto bytes = stream.getArray();
-    const auto view = std::as_bytes(std::span(bytes.begin(), bytes.size()));
-    return { view.begin(), view.end() };
+    return peer::packMessage(message);
 }
 
 /** Moves at most the room that is left in a datagram from one list to another. */
@@ -94,6 +87,28 @@
     room -= count;
 }
 
+LeaseBatch readBatch(wire::Batch::Reader reader)
+{
+    LeaseBatch batch;
+    batch.roster = { reader.getRosterHash(), reader.getRosterRevision() };
+    for (const auto entry : reader.getRequests()) {
+        batch.requests.push_back({ entry.getPartition(), entry.getEpoch(), entry.getSequence() });
+    }
+    for (const auto entry : reader.getReplies()) {
+        batch.replies.push_back(readReply(entry));
+    }
+    for (const auto entry : reader.getReleases()) {
+        batch.releases.push_back({ entry.getPartition(), entry.getSequence() });
+    }
+    for (const auto entry : reader.getAsks()) {
+        batch.asks.push_back({ entry.getPartition() });
+    }
+    for (const auto entry : reader.getOffers()) {
+        batch.offers.push_back({ entry.getPartition() });
+    }
+    return batch;
+}
+
 } // namespace
 
 std::vector<std::vector<std::byte>> encodeBatch(const LeaseBatch &batch)
@@ -118,35 +133,7 @@
 
 core::Result<LeaseBatch> decodeBatch(std::span<const std::byte> payload)
 {
-    try {
-        kj::ArrayInputStream stream(
-            { reinterpret_cast<const kj::byte *>(payload.data()), payload.size() });
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = MaxWordsRead;
-        capnp::PackedMessageReader message(stream, options);
-        const auto reader = message.getRoot<wire::Batch>();
-        LeaseBatch batch;
-        batch.roster = { reader.getRosterHash(), reader.getRosterRevision() };
-        for (const auto entry : reader.getRequests()) {
-            batch.requests.push_back(
-                { entry.getPartition(), entry.getEpoch(), entry.getSequence() });
-        }
-        for (const auto entry : reader.getReplies()) {
-            batch.replies.push_back(readReply(entry));
-        }
-        for (const auto entry : reader.getReleases()) {
-            batch.releases.push_back({ entry.getPartition(), entry.getSequence() });
-        }
-        for (const auto entry : reader.getAsks()) {
-            batch.asks.push_back({ entry.getPartition() });
-        }
-        for (const auto entry : reader.getOffers()) {
-            batch.offers.push_back({ entry.getPartition() });
-        }
-        return batch;
-    } catch (const kj::Exception &) {
-        return core::notRun(core::Reason::BadRequest, "malformed lease message");
-    }
+    return peer::unpackMessage<wire::Batch, LeaseBatch>(payload, readBatch);
 }
 
 } // namespace damaskgate::lease
--- a/src/limits/tokencodec.cpp
+++ b/src/limits/tokencodec.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/io.h>
+#include "damaskgate/peer/packedmessage.h"
 
 #include "token.capnp.h"
 
@@ -13,7 +11,6 @@
 namespace {
 
 constexpr std::size_t MessagesPerDatagram = 8;
-constexpr std::uint64_t MaxWordsRead = 4096;
 
 struct Writer
 {
@@ -90,11 +87,16 @@
     for (unsigned index = 0; index < list.size(); ++index) {
         std::visit(Writer { list[index] }, messages[index]);
     }
-    kj::VectorOutputStream stream;
-    capnp::writePackedMessage(stream, message);
-    const auto bytes = stream.getArray();
-    const auto view = std::as_bytes(std::span(bytes.begin(), bytes.size()));
-    return { view.begin(), view.end() };
+    return peer::packMessage(message);
+}
+
+std::vector<TokenMessage> readMessages(wire::Batch::Reader reader)
+{
+    std::vector<TokenMessage> messages;
+    for (const auto entry : reader.getMessages()) {
+        readMessage(entry, messages);
+    }
+    return messages;
 }
 
 } // namespace
@@ -112,20 +114,7 @@
 
 core::Result<std::vector<TokenMessage>> decodeMessages(std::span<const std::byte> payload)
 {
-    try {
-        kj::ArrayInputStream stream(
-            { reinterpret_cast<const kj::byte *>(payload.data()), payload.size() });
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = MaxWordsRead;
-        capnp::PackedMessageReader message(stream, options);
-        std::vector<TokenMessage> messages;
-        for (const auto entry : message.getRoot<wire::Batch>().getMessages()) {
-            readMessage(entry, messages);
-        }
-        return messages;
-    } catch (const kj::Exception &) {
-        return core::notRun(core::Reason::BadRequest, "malformed token message");
-    }
+    return peer::unpackMessage<wire::Batch, std::vector<TokenMessage>>(payload, readMessages);
 }
 
 } // namespace damaskgate::limits
--- a/src/membership/membercodec.cpp
+++ b/src/membership/membercodec.cpp
@@ -2,10 +2,7 @@
 
 #include <cstdint>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
+#include "damaskgate/peer/packedmessage.h"
 
 #include "membershipmessages.capnp.h"
 
@@ -13,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t WordLimit = 4096; // Cap'n Proto words read from one message
 constexpr std::uint32_t FirstSegmentWords = 128;
 
 void writeRevision(wire::Revision::Builder builder, const settings::Revision &revision)
@@ -103,28 +99,12 @@
 {
     capnp::MallocMessageBuilder builder(FirstSegmentWords);
     std::visit(MessageWriter { builder.initRoot<wire::MemberMessage>() }, message);
-    kj::VectorOutputStream output;
-    capnp::writePackedMessage(output, builder);
-    const auto bytes =
-        std::as_bytes(std::span(output.getArray().begin(), output.getArray().size()));
-    return { bytes.begin(), bytes.end() };
+    return peer::packMessage(builder);
 }
 
-std::optional<MemberMessage> decode(std::span<const std::byte> payload)
+core::Result<MemberMessage> decode(std::span<const std::byte> payload)
 {
-    std::optional<MemberMessage> message;
-    const auto failure = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream input(
-            kj::arrayPtr(reinterpret_cast<const kj::byte *>(payload.data()), payload.size()));
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = WordLimit;
-        capnp::PackedMessageReader reader(input, options);
-        message = readMessage(reader.getRoot<wire::MemberMessage>());
-    });
-    if (failure != nullptr) {
-        return std::nullopt;
-    }
-    return message;
+    return peer::unpackMessage<wire::MemberMessage, MemberMessage>(payload, readMessage);
 }
 
 } // namespace damaskgate::membership
--- a/src/membership/membercodec.h
+++ b/src/membership/membercodec.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <cstddef>
-#include <optional>
 #include <span>
 #include <vector>
 
+#include "damaskgate/core/error.h"
+
 #include "damaskgate/membership/membertypes.h"
 
 namespace damaskgate::membership {
@@ -12,7 +13,7 @@
 /** @return @p message as a packed Cap'n Proto message. */
 std::vector<std::byte> encode(const MemberMessage &message);
 
-/** @return the message in @p payload, or nothing when it is malformed. */
-std::optional<MemberMessage> decode(std::span<const std::byte> payload);
+/** @return the message in @p payload, or BadRequest when it is malformed. */
+core::Result<MemberMessage> decode(std::span<const std::byte> payload);
 
 } // namespace damaskgate::membership
--- a/src/membership/membershipservice.cpp
+++ b/src/membership/membershipservice.cpp
@@ -94,8 +94,12 @@
 
 void MembershipService::onDatagram(const peer::Datagram &datagram)
 {
-    const std::optional<MemberMessage> message = decode(datagram.payload);
-    if (!this->isRunning || !message) {
+    if (!this->isRunning) {
+        return;
+    }
+    const core::Result<MemberMessage> message = decode(datagram.payload);
+    if (!message) {
+        this->events.record({ "member-message-malformed", { { "from", datagram.from.text() } } });
         return;
     }
     this->sendAll(
