--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -2,7 +2,6 @@
 
 import http.client
 import json
-import os
 import pathlib
 import shutil
 import signal
