settings: one check of whether a host or endpoint is in service

The same look at a member and its failure domain stood in the floor, the endpoint picker, the cold ledger and the control plane. The control plane's copy took an unknown domain for out of service, the others for in service; checked settings refuse dangling domains, so no host can tell the difference.

--- a/src/balance/coldledger.cpp
+++ b/src/balance/coldledger.cpp
@@ -47,9 +47,7 @@
                       std::inserter(this->hosts, this->hosts.end()));
     std::set<core::EndpointName> inService;
     for (const auto &[name, endpoint] : service.endpoints) {
-        const auto domain = settings.domains.find(endpoint.domain);
-        const bool isDomainOut = domain != settings.domains.end() && !domain->second.isInService;
-        if (!endpoint.isInService || isDomainOut) {
+        if (!settings::isInService(settings, endpoint)) {
             continue;
         }
         inService.insert(name);
--- a/src/balance/endpointpicker.cpp
+++ b/src/balance/endpointpicker.cpp
@@ -14,13 +14,6 @@
 constexpr std::chrono::milliseconds FirstAvoidance { 500 };
 constexpr std::uint32_t MostDoublings = 5;
 
-bool isInService(const settings::Settings &settings, const settings::Endpoint &endpoint)
-{
-    const auto domain = settings.domains.find(endpoint.domain);
-    const bool isDomainInService = domain == settings.domains.end() || domain->second.isInService;
-    return endpoint.isInService && isDomainInService;
-}
-
 } // namespace
 
 EndpointPicker::EndpointPicker(std::uint64_t firstSequence) : lease(firstSequence) {}
@@ -35,7 +28,7 @@
     });
     std::set<core::EndpointName> inService;
     for (const auto &[name, endpoint] : service.endpoints) {
-        if (isInService(settings, endpoint)) {
+        if (settings::isInService(settings, endpoint)) {
             this->candidates.emplace(name, endpoint);
             inService.insert(name);
         }
--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <optional>
 #include <ranges>
+#include <set>
 #include <utility>
 
 namespace damaskgate::daemon {
@@ -17,12 +18,6 @@
     return peer::PeerAddress { host.name, host.address, host.peerPort };
 }
 
-bool isInService(const settings::Settings &settings, const settings::Host &host)
-{
-    const auto domain = settings.domains.find(host.domain);
-    return host.isInService && domain != settings.domains.end() && domain->second.isInService;
-}
-
 platform::PlatformReaderOptions readerOptions(const settings::HostSettings &host,
                                               std::uint64_t incarnation)
 {
@@ -215,7 +210,8 @@
 void ControlPlane::updateService(const settings::Settings &settings)
 {
     const auto self = settings.hosts.find(this->host.name);
-    const bool isServing = self != settings.hosts.end() && isInService(settings, self->second);
+    const bool isServing =
+        self != settings.hosts.end() && settings::isInService(settings, self->second);
     if (isServing) {
         this->outOfServiceSince.reset();
         this->gate.setOutOfServiceAt(core::Instant::max());
@@ -241,17 +237,18 @@
 
 void ControlPlane::publishLiveHosts(const settings::Settings &settings)
 {
-    const auto isListedLeaving = [this](const core::HostName &name) {
-        return std::ranges::any_of(this->listedHosts, [&name](const platform::ListedHost &listed) {
-            return listed.name == name && listed.state == platform::ListedHost::State::Leaving;
-        });
-    };
+    std::set<core::HostName> leaving;
+    for (const platform::ListedHost &listed : this->listedHosts) {
+        if (listed.state == platform::ListedHost::State::Leaving) {
+            leaving.insert(listed.name);
+        }
+    }
     std::vector<settings::Host> serving;
     std::vector<core::HostName> holders;
     for (const core::HostName &name : this->members.table().liveHosts()) {
         const auto found = settings.hosts.find(name);
-        if (found != settings.hosts.end() && isInService(settings, found->second)
-            && !isListedLeaving(name)) {
+        if (found != settings.hosts.end() && settings::isInService(settings, found->second)
+            && !leaving.contains(name)) {
             serving.push_back(found->second);
             holders.push_back(name);
         }
--- a/src/health/floor.cpp
+++ b/src/health/floor.cpp
@@ -8,12 +8,6 @@
 
 constexpr double RoundingMargin = 1e-9; //!< keeps 0.2 * 15 from becoming 4
 
-bool isDomainInService(const settings::Settings &settings, const core::DomainName &name)
-{
-    const auto domain = settings.domains.find(name);
-    return domain == settings.domains.end() || domain->second.isInService;
-}
-
 } // namespace
 
 Floor::Floor(const settings::Settings &settings, const settings::Service &service)
@@ -22,7 +16,7 @@
     const double exact = service.healthyFloor * listed;
     this->required = static_cast<std::size_t>(std::ceil(exact - RoundingMargin));
     for (const auto &[name, endpoint] : service.endpoints) {
-        if (endpoint.isInService && isDomainInService(settings, endpoint.domain)) {
+        if (settings::isInService(settings, endpoint)) {
             this->endpoints.insert(name);
         }
     }
--- a/src/settings/include/damaskgate/settings/settingstypes.h
+++ b/src/settings/include/damaskgate/settings/settingstypes.h
@@ -99,6 +99,19 @@
     std::map<core::ServiceName, Service> services;
 };
 
+/**
+ * @param member a Host or an Endpoint
+ * @return whether @p member and its failure domain are in service; checked settings name no unknown
+ *         domain
+ */
+template <typename Member>
+bool isInService(const Settings &settings, const Member &member)
+{
+    const auto domain = settings.domains.find(member.domain);
+    const bool isDomainInService = domain == settings.domains.end() || domain->second.isInService;
+    return member.isInService && isDomainInService;
+}
+
 using SettingsPtr = std::shared_ptr<const Settings>;
 
 } // namespace damaskgate::settings
