--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 #include <iterator>
 #include <ranges>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -34,9 +35,17 @@
 
 void MemberTable::applyRoster(std::span<const core::HostName> hosts)
 {
+    const auto isKnown = [this](const core::HostName &host) {
+        return this->members.contains(host);
+    };
+    std::set<core::HostName> wanted(hosts.begin(), hosts.end());
+    wanted.insert(this->self);
+    if (wanted.size() == this->members.size() && std::ranges::all_of(wanted, isKnown)) {
+        return;
+    }
     std::map<core::HostName, Member> kept;
     kept.insert(this->members.extract(this->self));
-    for (const core::HostName &host : hosts) {
+    for (const core::HostName &host : wanted) {
         const auto known = this->members.find(host);
         if (known != this->members.end()) {
             kept.insert(this->members.extract(known));
