--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -21,3 +21,10 @@
         GTest::gtest GTest::gmock GTest::gtest_main)
     gtest_discover_tests(${target} TEST_PREFIX ${name}. DISCOVERY_TIMEOUT 60)
 endfunction()
+
+# Adds the folder of a module's tests or benchmarks, except where only programs are built.
+function(damaskgate_add_checks folder)
+    if(NOT DAMASKGATE_PROGRAMS_ONLY)
+        add_subdirectory(${folder})
+    endif()
+endfunction()
--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -14,6 +14,7 @@
 enum class Outcome {
     Answered, //!< a whole answer below status 500
     ServerError, //!< a whole answer of status 500 or above, other than a shed
+    Misdirected, //!< another endpoint has the address; the request did not run
     Shed, //!< the endpoint refused explicitly and did not run the request
     ConnectFailed, //!< no connection was made
     Timeout, //!< no whole answer in time
@@ -27,6 +28,7 @@
     std::uint32_t inFlight = 0;
     std::uint32_t slots = 0;
     std::uint64_t incarnation = 0; //!< changes with each start of the endpoint
+    std::uint32_t waiting = 0; //!< queued at the endpoint
 };
 
 /** What one exchange told about an endpoint. */
@@ -45,6 +47,7 @@
     bool isDeferrable = false;
     core::Instant deadline;
     std::vector<core::EndpointName> excluded; //!< endpoints that already failed this request
+    bool isRepeatable = false; //!< may be tried at an endpoint that is likely to fail
 };
 
 /** A slot of an endpoint, held until it is released. */
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -47,6 +47,11 @@
     return value;
 }
 
+std::uint32_t tagOf(std::string_view name)
+{
+    return std::max<std::uint32_t>(static_cast<std::uint32_t>(hash64(name)), 1);
+}
+
 bool equalInConstantTime(std::span<const std::uint8_t> first, std::span<const std::uint8_t> second)
 {
     return first.size() == second.size()
--- a/src/daemon/commandline.cpp
+++ b/src/daemon/commandline.cpp
@@ -13,7 +13,7 @@
         ->required()
         ->check(CLI::ExistingFile);
     app.add_option("--log", parsed.commandLine.logFile,
-                   "file for events; standard error if absent");
+                   "file for events; standard output if absent");
     app.add_flag("--check", parsed.commandLine.isCheckOnly, "check the settings file and exit");
     app.footer(
         "Exit codes: 0 stopped gracefully or settings are good, 1 settings refused, 2 usage, "
--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -18,10 +18,10 @@
     return peer::PeerAddress { host.name, host.address, host.peerPort };
 }
 
-platform::PlatformReaderOptions readerOptions(const settings::HostSettings &host,
+publication::PlatformReaderOptions readerOptions(const settings::HostSettings &host,
                                               std::uint64_t incarnation)
 {
-    platform::PlatformReaderOptions options;
+    publication::PlatformReaderOptions options;
     options.replicas = host.platform;
     options.randomSeed = incarnation;
     return options;
@@ -128,7 +128,7 @@
     return this->members;
 }
 
-void ControlPlane::onHostList(const std::vector<platform::ListedHost> &hosts)
+void ControlPlane::onHostList(const std::vector<publication::ListedHost> &hosts)
 {
     if (hosts == this->listedHosts) {
         return;
@@ -197,11 +197,11 @@
 
 void ControlPlane::updatePace(const settings::Settings &settings)
 {
-    std::vector<platform::WatchCandidate> live;
+    std::vector<publication::WatchCandidate> live;
     for (const core::HostName &name : this->members.table().liveHosts()) {
         const auto found = settings.hosts.find(name);
         if (found != settings.hosts.end()) {
-            live.push_back(platform::WatchCandidate { name, found->second.domain });
+            live.push_back(publication::WatchCandidate { name, found->second.domain });
         }
     }
     this->reader.setPace(this->watchDuty.paceFor(live));
@@ -238,8 +238,8 @@
 void ControlPlane::publishLiveHosts(const settings::Settings &settings)
 {
     std::set<core::HostName> leaving;
-    for (const platform::ListedHost &listed : this->listedHosts) {
-        if (listed.state == platform::ListedHost::State::Leaving) {
+    for (const publication::ListedHost &listed : this->listedHosts) {
+        if (listed.state == publication::ListedHost::State::Leaving) {
             leaving.insert(listed.name);
         }
     }
--- a/src/daemon/controlplane.h
+++ b/src/daemon/controlplane.h
@@ -12,10 +12,10 @@
 #include "damaskgate/lease/leaseservice.h"
 #include "damaskgate/membership/membershipservice.h"
 #include "damaskgate/peer/udppeernetwork.h"
-#include "damaskgate/platform/ihostlistlistener.h"
-#include "damaskgate/platform/iplatformlistener.h"
-#include "damaskgate/platform/platformreader.h"
-#include "damaskgate/platform/watchduty.h"
+#include "damaskgate/publication/ihostlistlistener.h"
+#include "damaskgate/publication/iplatformlistener.h"
+#include "damaskgate/publication/platformreader.h"
+#include "damaskgate/publication/watchduty.h"
 #include "damaskgate/relay/settingsrelay.h"
 #include "damaskgate/settings/freshnessguard.h"
 #include "damaskgate/settings/hostsettings.h"
@@ -27,7 +27,7 @@
 namespace damaskgate::daemon {
 
 /** Settings, membership and leases of this host, on the control thread. */
-class ControlPlane final : public platform::IHostListListener, public platform::IPlatformListener
+class ControlPlane final : public publication::IHostListListener, public publication::IPlatformListener
 {
 public:
     struct Dependencies
@@ -63,7 +63,7 @@
     const peer::UdpPeerNetwork &network() const;
     const membership::MembershipService &membership() const;
 
-    void onHostList(const std::vector<platform::ListedHost> &hosts) override;
+    void onHostList(const std::vector<publication::ListedHost> &hosts) override;
     void onPlatformAnswered(core::Instant sentAt) override;
 
 private:
@@ -86,14 +86,14 @@
     peer::UdpPeerNetwork peers;
     membership::MembershipService members;
     lease::LeaseService leasing;
-    platform::PlatformReader reader;
-    platform::WatchDuty watchDuty;
+    publication::PlatformReader reader;
+    publication::WatchDuty watchDuty;
     relay::SettingsRelay relay;
     settings::FreshnessGuard freshness;
     settings::StartGate startGate;
     boost::asio::steady_timer tickTimer;
     LiveHostsListener liveHostsListener;
-    std::vector<platform::ListedHost> listedHosts;
+    std::vector<publication::ListedHost> listedHosts;
     std::optional<core::Instant> outOfServiceSince;
 };
 
--- a/src/daemon/dataplane.h
+++ b/src/daemon/dataplane.h
@@ -15,11 +15,11 @@
 #include "damaskgate/core/event.h"
 #include "damaskgate/entry/entryserver.h"
 #include "damaskgate/metrics/registry.h"
+#include "damaskgate/requestlog/requestrecorder.h"
 #include "damaskgate/settings/hostsettings.h"
 #include "damaskgate/settings/isettingsstore.h"
 
 #include "fleetlookup.h"
-#include "requestrecorder.h"
 #include "servinggate.h"
 
 namespace damaskgate::daemon {
@@ -81,7 +81,7 @@
     settings::HostSettings host;
     balance::Balancer balancing;
     FleetLookup fleetLookup;
-    RequestRecorder recorder;
+    requestlog::RequestRecorder recorder;
     entry::EntryServer server;
     std::vector<std::function<void()>> tickTasks;
     std::thread thread;
--- a/src/entry/answerhead.cpp
+++ b/src/entry/answerhead.cpp
@@ -1,6 +1,6 @@
 #include "answerhead.h"
 
-#include <charconv>
+#include <algorithm>
 
 #include "fieldnames.h"
 #include "headerrules.h"
@@ -15,11 +15,17 @@
     return isHeadRequest || status == 204 || status == 304;
 }
 
-bool isPassedOn(const http::fields::value_type &field, const HopByHopFilter &hopByHop)
+bool isPassedOn(const http::fields::value_type &field, const HopByHopFilter &hopByHop,
+                const Dialect &dialect)
 {
     const auto name = toView(field.name_string());
-    return field.name() != http::field::content_length && !hasNamePrefix(name, OwnFieldPrefix)
-        && !hasNamePrefix(name, UpstreamFieldPrefix) && !hopByHop.isDropped(field);
+    const auto isSame = [name](std::string_view other) {
+        return beast::iequals(name, other);
+    };
+    const bool isReserved = hasNamePrefix(name, dialect.ownFieldPrefix)
+        || hasNamePrefix(name, dialect.endpointFieldPrefix);
+    const bool isDelivered = !isReserved || std::ranges::any_of(dialect.deliveredFields, isSame);
+    return field.name() != http::field::content_length && isDelivered && !hopByHop.isDropped(field);
 }
 
 void appendFraming(std::string &head, const AnswerParser &parser, AnswerFraming framing)
@@ -35,17 +41,6 @@
     }
 }
 
-template <typename T>
-void readNumber(std::string_view text, std::string_view name, T &value)
-{
-    const auto start = text.find(name);
-    if (start == std::string_view::npos) {
-        return;
-    }
-    const auto digits = text.substr(start + name.size());
-    std::from_chars(digits.data(), digits.data() + digits.size(), value);
-}
-
 } // namespace
 
 AnswerFraming chooseFraming(const AnswerParser &parser, bool isHeadRequest, unsigned callerVersion)
@@ -60,7 +55,7 @@
 }
 
 std::string makeAnswerHead(const AnswerParser &parser, AnswerFraming framing,
-                           std::string_view traceId, bool isClosing)
+                           std::string_view traceId, bool isClosing, const Dialect &dialect)
 {
     const auto &header = parser.get();
     std::string head = "HTTP/1.1 " + std::to_string(header.result_int()) + " ";
@@ -68,12 +63,12 @@
     head += "\r\n";
     const HopByHopFilter hopByHop(header);
     for (const auto &field : header) {
-        if (isPassedOn(field, hopByHop)) {
+        if (isPassedOn(field, hopByHop, dialect)) {
             appendField(head, toView(field.name_string()), toView(field.value()));
         }
     }
     appendField(head, "Via", ViaValue);
-    appendField(head, TraceField, traceId);
+    appendField(head, dialect.traceField, traceId);
     appendFraming(head, parser, framing);
     if (isClosing) {
         appendField(head, "Connection", "close");
@@ -82,22 +77,14 @@
     return head;
 }
 
-std::optional<balance::LoadReport> readLoad(const AnswerHeader &header)
+std::optional<balance::LoadReport> readLoad(const AnswerHeader &header, const Dialect &dialect)
 {
-    const auto text = toView(header[LoadField]);
-    if (text.empty()) {
-        return std::nullopt;
-    }
-    balance::LoadReport load;
-    readNumber(text, "in-flight=", load.inFlight);
-    readNumber(text, "slots=", load.slots);
-    readNumber(text, "incarnation=", load.incarnation);
-    return load;
+    return dialect.readLoad(toView(header[dialect.loadField]));
 }
 
-bool isShed(const AnswerHeader &header)
+bool isShed(const AnswerHeader &header, const Dialect &dialect)
 {
-    return header.result_int() == 503 && header[ShedField] == "1";
+    return dialect.isShed(header.result_int(), toView(header[dialect.shedField]));
 }
 
 } // namespace damaskgate::entry
--- a/src/entry/answerhead.h
+++ b/src/entry/answerhead.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "damaskgate/balance/balancetypes.h"
+#include "damaskgate/entry/dialect.h"
 
 #include "httptypes.h"
 
@@ -23,12 +24,12 @@
 
 /** @return the header of the answer for the caller, whole. */
 std::string makeAnswerHead(const AnswerParser &parser, AnswerFraming framing,
-                           std::string_view traceId, bool isClosing);
+                           std::string_view traceId, bool isClosing, const Dialect &dialect);
 
 /** @return the load that the endpoint reports in its answer, or nothing. */
-std::optional<balance::LoadReport> readLoad(const AnswerHeader &header);
+std::optional<balance::LoadReport> readLoad(const AnswerHeader &header, const Dialect &dialect);
 
 /** @return whether the endpoint says explicitly that it did not run the request. */
-bool isShed(const AnswerHeader &header);
+bool isShed(const AnswerHeader &header, const Dialect &dialect);
 
 } // namespace damaskgate::entry
--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
-#include "fieldnames.h"
 #include "headerrules.h"
 
 namespace damaskgate::entry {
@@ -22,6 +21,9 @@
 // again when it may not repeat.
 constexpr std::chrono::seconds MaxIdleTimeNotRepeatable { 1 };
 constexpr std::size_t MaxAnswerHeaderBytes = 65536;
+constexpr int MaxStrayAnswers = 2; //!< before the own answer
+constexpr unsigned MisdirectedStatus = 421;
+constexpr unsigned ServerErrorStatus = 500;
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
 std::string chunkHead(std::size_t size)
@@ -56,6 +58,7 @@
 
 asio::awaitable<AttemptResult> Attempt::run(const settings::Endpoint &endpoint)
 {
+    this->endpointName = endpoint.name;
     error_code ec;
     const auto address = asio::ip::make_address(endpoint.address, ec);
     const asio::ip::tcp::endpoint remote(address, endpoint.port);
@@ -123,8 +126,14 @@
     using std::chrono::milliseconds;
     std::string head = this->plan.head;
     const auto remaining = ceil<milliseconds>(this->plan.deadline - this->context.now());
-    appendField(head, DeadlineField, std::to_string(std::max<long long>(remaining.count(), 1)));
-    appendField(head, ExchangeField, std::to_string(this->exchangeId));
+    appendField(head, this->dialect().deadlineField,
+                std::to_string(std::max<long long>(remaining.count(), 1)));
+    if (!this->dialect().exchangeField.empty()) {
+        appendField(head, this->dialect().exchangeField, std::to_string(this->exchangeId));
+    }
+    if (!this->dialect().expectedEndpointField.empty()) {
+        appendField(head, this->dialect().expectedEndpointField, this->endpointName.text());
+    }
     head += this->body.framingFields();
     head += "\r\n";
 
@@ -252,32 +261,83 @@
 
 bool Attempt::isOwnAnswer() const
 {
-    const auto echoed = toView(this->parser->get()[ExchangeField]);
+    if (this->dialect().exchangeField.empty()) {
+        const auto echoed = toView(this->parser->get()[this->dialect().traceField]);
+        return echoed.empty() || echoed == this->plan.traceId;
+    }
+    const auto echoed = toView(this->parser->get()[this->dialect().exchangeField]);
     return echoed.empty() || echoed == std::to_string(this->exchangeId);
 }
 
+bool Attempt::isGenuine() const
+{
+    const auto &header = this->parser->get();
+    const bool isSuccess = header.result_int() / 100 == 2;
+    const std::string &field = this->dialect().signatureField;
+    return !isSuccess || field.empty() || header.count(field) > 0;
+}
+
+// An answer that no request waits for may precede the own one on a kept connection.
+asio::awaitable<error_code> Attempt::readOwnAnswerHead()
+{
+    error_code ec = co_await this->readAnswerHead();
+    for (int strays = 0; !ec && !this->isOwnAnswer() && strays < MaxStrayAnswers; ++strays) {
+        ec = co_await this->discardAnswer();
+        if (!ec) {
+            ec = co_await this->readAnswerHead();
+        }
+    }
+    co_return ec;
+}
+
+asio::awaitable<error_code> Attempt::discardAnswer()
+{
+    BodyReader<false> reader(this->connection->socket, this->connection->buffer, *this->parser);
+    const auto space = std::make_unique_for_overwrite<char[]>(IoBufferSize);
+    error_code ec;
+    while (!ec && !reader.isDone()) {
+        ec = (co_await reader.readSome({ space.get(), IoBufferSize })).first;
+    }
+    co_return ec;
+}
+
+const Dialect &Attempt::dialect() const
+{
+    return this->context.options.dialect;
+}
+
 asio::awaitable<void> Attempt::handleAnswer()
 {
-    const error_code ec = co_await this->readAnswerHead();
+    const error_code ec = co_await this->readOwnAnswerHead();
     this->result.report.latency = this->context.now() - this->sentAt;
     if (ec) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
                    "the endpoint broke off before its answer");
         co_return;
     }
-    if (!this->isOwnAnswer() || hasUnknownCoding(*this->parser)
+    if (!this->isOwnAnswer() || !this->isGenuine() || hasUnknownCoding(*this->parser)
         || this->parser->get().result_int() == 101) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
                    "the endpoint sent an answer that belongs to no request of this connection");
         co_return;
     }
     this->noteAnswer();
-    if (isShed(this->parser->get())) {
+    if (isShed(this->parser->get(), this->dialect())) {
         this->result.verdict = core::Verdict::NotRun;
-        this->fail(core::Reason::UpstreamShed, balance::Outcome::Shed, "the endpoint shed it");
+        const bool isMisdirected = this->parser->get().result_int() == MisdirectedStatus;
+        this->fail(core::Reason::UpstreamShed,
+                   isMisdirected ? balance::Outcome::Misdirected : balance::Outcome::Shed,
+                   "the endpoint shed it");
+        co_await this->discardAnswer();
         co_return;
     }
     this->result.verdict = core::Verdict::Ran;
+    if (this->plan.isFailureDiscarded && this->parser->get().result_int() >= ServerErrorStatus) {
+        this->fail(core::Reason::UpstreamFailed, balance::Outcome::ServerError,
+                   "the endpoint failed it");
+        co_await this->discardAnswer();
+        co_return;
+    }
     this->result.status = static_cast<int>(this->parser->get().result_int());
     co_await this->deliverAnswer();
 }
@@ -286,9 +346,11 @@
 {
     const bool isHeadOnly = this->plan.isHead;
     this->framing = chooseFraming(*this->parser, isHeadOnly, this->plan.callerVersion);
-    const bool isClosing = this->plan.isClosing || this->context.isDraining || !this->body.isDone()
+    const bool isClosing = this->plan.isClosing || this->context.isLeaving || this->context.isDraining
+        || !this->body.isDone()
         || this->framing == AnswerFraming::UntilClose;
-    std::string head = makeAnswerHead(*this->parser, this->framing, this->plan.traceId, isClosing);
+    std::string head = makeAnswerHead(*this->parser, this->framing, this->plan.traceId, isClosing,
+                                      this->dialect());
 
     BodyReader<false> reader(this->connection->socket, this->connection->buffer, *this->parser);
     const auto space = std::make_unique_for_overwrite<char[]>(IoBufferSize);
@@ -327,16 +389,19 @@
 
 void Attempt::noteAnswer()
 {
-    const bool isServerError = this->parser->get().result_int() >= 500;
+    const bool isServerError = this->parser->get().result_int() >= ServerErrorStatus;
     this->result.report.outcome =
         isServerError ? balance::Outcome::ServerError : balance::Outcome::Answered;
-    this->result.report.load = readLoad(this->parser->get());
+    this->result.report.load = readLoad(this->parser->get(), this->dialect());
 }
 
 // A connection is used again only when nothing of its exchange is left on either side.
 void Attempt::keepConnection()
 {
-    const bool isClean = !this->result.error && !this->isAborted && this->isBodySent && this->parser
+    const bool isAnswered = !this->result.error
+        || this->result.report.outcome == balance::Outcome::Shed
+        || this->result.report.outcome == balance::Outcome::ServerError;
+    const bool isClean = isAnswered && !this->isAborted && this->isBodySent && this->parser
         && this->parser->is_done() && this->parser->keep_alive()
         && this->connection->buffer.size() == 0 && this->connection->socket.is_open();
     if (isClean) {
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -33,6 +33,7 @@
     unsigned callerVersion = 11;
     bool isHead = false;
     bool isRepeatable = true;
+    bool isFailureDiscarded = false; //!< a server error is not delivered but tried elsewhere
     bool isClosing = false; //!< the caller's connection ends with the answer
 };
 
@@ -71,8 +72,12 @@
     asio::awaitable<bool> sendBodyPart(std::string_view part, bool isLast);
     asio::awaitable<void> endBody();
     asio::awaitable<error_code> readAnswerHead();
+    asio::awaitable<error_code> readOwnAnswerHead();
+    asio::awaitable<error_code> discardAnswer();
+    const Dialect &dialect() const;
     asio::awaitable<error_code> receiveAnswer();
     bool isOwnAnswer() const;
+    bool isGenuine() const;
     asio::awaitable<void> handleAnswer();
     asio::awaitable<void> deliverAnswer();
     asio::awaitable<bool> sendAnswerPart(std::string_view head, std::string_view part);
@@ -87,6 +92,7 @@
     AbortHandler onAbort;
 
     UpstreamConnectionPtr connection;
+    core::EndpointName endpointName;
     std::optional<AnswerParser> parser;
     AnswerFraming framing = AnswerFraming::None;
     std::uint64_t exchangeId = 0;
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -141,7 +141,8 @@
 
 asio::awaitable<bool> CallerSession::refuseHeader(const core::Error &error, int status)
 {
-    const std::string message = toMessage({ error, status, {}, {}, true, false });
+    const std::string message =
+        toMessage({ error, status, {}, {}, true, false }, this->context.options.dialect);
     co_await this->connection->write(message);
     RequestRecord record;
     record.reason = error.reason;
--- a/src/entry/checkedrequest.cpp
+++ b/src/entry/checkedrequest.cpp
@@ -43,9 +43,10 @@
     return isUsable ? std::string(text) : std::string {};
 }
 
-routing::KeyFilter findKeys(const RequestHeader &header, std::string_view query)
+routing::KeyFilter findKeys(const RequestHeader &header, std::string_view query,
+                            const Dialect &dialect)
 {
-    routing::KeyFilter filter;
+    routing::KeyFilter filter(dialect.keyScheme);
     for (const auto &field : header) {
         filter.inspectField(toView(field.name_string()), toView(field.value()));
     }
@@ -53,12 +54,15 @@
     return filter;
 }
 
-core::Result<std::string> readOperationKey(const RequestHeader &header)
+core::Result<std::string> readOperationKey(const RequestHeader &header, const Dialect &dialect)
 {
-    if (header.count(OperationKeyField) > 1) {
+    if (dialect.operationKeyField.empty()) {
+        return std::string {};
+    }
+    if (header.count(dialect.operationKeyField) > 1) {
         return core::notRun(core::Reason::OperationKeyInvalid, "several operation keys were sent");
     }
-    return std::string(toView(header[OperationKeyField]));
+    return std::string(toView(header[dialect.operationKeyField]));
 }
 
 void appendHost(std::string &head, const RequestHeader &header, const RequestFacts &facts,
@@ -69,14 +73,33 @@
     appendField(head, "Host", isUsable ? host : std::string_view(route.service.text()));
 }
 
-bool isOwnField(std::string_view name)
+std::string readHost(const RequestHeader &header, const routing::RequestTarget &target)
+{
+    // RFC 9112 3.2.2: the authority of an absolute form goes before the Host field.
+    const std::string_view named =
+        target.authority.empty() ? toView(header[http::field::host]) : target.authority;
+    std::string host(named.substr(0, named.find(':')));
+    std::ranges::transform(host, host.begin(),
+                           [](char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; });
+    return host;
+}
+
+void appendTarget(std::string &head, const RequestFacts &facts, const Dialect &dialect)
 {
-    return hasNamePrefix(name, OwnFieldPrefix);
+    if (dialect.isTargetKept) {
+        head += facts.sentTarget;
+        return;
+    }
+    head += facts.target.path;
+    const std::string query = facts.keyFilter.filterQuery(facts.target.query);
+    if (!query.empty()) {
+        head += "?" + query;
+    }
 }
 
 } // namespace
 
-core::Result<RequestFacts> readFacts(const RequestHeader &header)
+core::Result<RequestFacts> readFacts(const RequestHeader &header, const Dialect &dialect)
 {
     auto target = routing::normalizeTarget(toView(header.target()));
     if (!target) {
@@ -84,7 +107,9 @@
     }
     RequestFacts facts;
     facts.target = std::move(*target);
-    facts.keyFilter = findKeys(header, facts.target.query);
+    facts.sentTarget = toView(header.target());
+    facts.host = readHost(header, facts.target);
+    facts.keyFilter = findKeys(header, facts.target.query, dialect);
     const auto key = facts.keyFilter.key();
     if (!key) {
         return tl::unexpected(key.error());
@@ -94,24 +119,24 @@
     if (facts.keyFilter.containsKey(facts.target.path)) {
         return core::notRun(core::Reason::BadRequest, "the path contains the key");
     }
-    const auto deadline = readDeadline(toView(header[DeadlineField]));
+    const auto deadline = readDeadline(toView(header[dialect.deadlineField]));
     if (!deadline) {
         return tl::unexpected(deadline.error());
     }
     facts.callerDeadline = *deadline;
-    auto operationKey = readOperationKey(header);
+    auto operationKey = readOperationKey(header, dialect);
     if (!operationKey) {
         return tl::unexpected(operationKey.error());
     }
     facts.operationKey = std::move(*operationKey);
-    facts.traceId = readTrace(toView(header[TraceField]), facts.keyFilter);
+    facts.traceId = readTrace(toView(header[dialect.traceField]), facts.keyFilter);
     facts.isExpectingContinue = beast::iequals(header[http::field::expect], "100-continue");
     return facts;
 }
 
 core::Result<Permission> findPermission(const RequestFacts &facts, routing::RouteIndexPtr index)
 {
-    const auto route = index->findRoute(facts.target.path, facts.method);
+    const auto route = index->findRoute(facts.target.path, facts.method, facts.host);
     if (!route) {
         return tl::unexpected(route.error());
     }
@@ -129,28 +154,28 @@
 }
 
 std::string makeForwardedHead(const RequestHeader &header, const RequestFacts &facts,
-                              const settings::Route &route)
+                              const Permission &permission, const Dialect &dialect)
 {
-    std::string head = facts.method + " " + facts.target.path;
-    const std::string query = facts.keyFilter.filterQuery(facts.target.query);
-    if (!query.empty()) {
-        head += "?" + query;
-    }
+    std::string head = facts.method + " ";
+    appendTarget(head, facts, dialect);
     head += " HTTP/1.1\r\n";
-    appendHost(head, header, facts, route);
+    appendHost(head, header, facts, *permission.route);
     const HopByHopFilter hopByHop(header);
     for (const auto &field : header) {
         const auto name = toView(field.name_string());
         const auto value = toView(field.value());
         const bool isReplaced =
             std::ranges::find(ReplacedFields, field.name()) != ReplacedFields.end();
-        if (isReplaced || isOwnField(name) || hopByHop.isDropped(field)
+        if (isReplaced || hasNamePrefix(name, dialect.ownFieldPrefix) || hopByHop.isDropped(field)
             || facts.keyFilter.isFieldDropped(name, value)) {
             continue;
         }
         appendField(head, name, value);
     }
     appendField(head, "Via", ViaValue);
+    if (!dialect.workspaceField.empty() && !permission.workspace.isEmpty()) {
+        appendField(head, dialect.workspaceField, permission.workspace.text());
+    }
     return head;
 }
 
--- a/src/entry/checkedrequest.h
+++ b/src/entry/checkedrequest.h
@@ -11,6 +11,8 @@
 #include "damaskgate/routing/requesttarget.h"
 #include "damaskgate/routing/routeindex.h"
 
+#include "damaskgate/entry/dialect.h"
+
 #include "httptypes.h"
 
 namespace damaskgate::entry {
@@ -22,6 +24,8 @@
     routing::KeyFilter keyFilter;
     std::string key; //!< empty when none was sent
     std::string method;
+    std::string host; //!< that the request is addressed to; lower case, no port
+    std::string sentTarget; //!< as it stands in the request line
     std::string traceId; //!< empty when the caller sent none that may be passed on
     std::string operationKey; //!< empty when none was sent
     std::optional<std::chrono::milliseconds> callerDeadline;
@@ -36,8 +40,11 @@
     core::WorkspaceName workspace; //!< empty on open routes
 };
 
-/** @return what @p header says, or BadRequest. */
-core::Result<RequestFacts> readFacts(const RequestHeader &header);
+/**
+ * @param dialect outlives the facts
+ * @return what @p header says, or BadRequest
+ */
+core::Result<RequestFacts> readFacts(const RequestHeader &header, const Dialect &dialect);
 
 /** @return the permission of a request under @p index, or why it has none. */
 core::Result<Permission> findPermission(const RequestFacts &facts, routing::RouteIndexPtr index);
@@ -47,6 +54,6 @@
  *         end of the header
  */
 std::string makeForwardedHead(const RequestHeader &header, const RequestFacts &facts,
-                              const settings::Route &route);
+                              const Permission &permission, const Dialect &dialect);
 
 } // namespace damaskgate::entry
--- a/src/entry/entrycontext.cpp
+++ b/src/entry/entrycontext.cpp
@@ -19,6 +19,12 @@
     return this->dependencies.clock.now();
 }
 
+IRetryBudget &EntryContext::retries()
+{
+    IRetryBudget *shared = this->dependencies.retryBudget;
+    return shared == nullptr ? this->ownRetries : *shared;
+}
+
 std::string EntryContext::makeTraceId()
 {
     std::array<char, 17> text {};
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -193,6 +193,11 @@
     return this->impl->listen(address, port);
 }
 
+void EntryServer::leave()
+{
+    this->impl->context.isLeaving = true;
+}
+
 void EntryServer::drain(DrainDone done)
 {
     this->impl->drain(std::move(done));
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
-#include "fieldnames.h"
 #include "headerrules.h"
 #include "lookupanswer.h"
 #include "refusal.h"
@@ -14,9 +14,10 @@
 
 namespace {
 
-constexpr std::size_t MaxAttempts = 3; //!< endpoints tried for one request
+constexpr std::size_t DefaultMaxAttempts = 3; //!< of routes without a limit
 constexpr std::chrono::seconds DefaultTimeout { 30 }; //!< of routes without one
 constexpr std::chrono::milliseconds DefaultRetryAfter { 1000 };
+constexpr std::chrono::milliseconds DrainingRetryAfter { 50 }; // another host serves it at once
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 constexpr std::array IdempotentMethods { http::verb::get, http::verb::head, http::verb::options,
@@ -27,6 +28,15 @@
     return std::ranges::find(IdempotentMethods, method) != IdempotentMethods.end();
 }
 
+bool isServedBy(const settings::Route &route, const core::ServiceName &service)
+{
+    const auto isService = [&service](const settings::WeightedService &part) {
+        return part.service == service;
+    };
+    return route.split.empty() ? route.service == service
+                               : std::ranges::any_of(route.split, isService);
+}
+
 bool isWorthRetrying(const core::Error &error, int status)
 {
     return error.verdict == core::Verdict::NotRun && (status == 503 || status == 429);
@@ -99,7 +109,7 @@
     const auto &header = this->parser.get();
     this->plan.isHead = header.method() == http::verb::head;
     this->plan.callerVersion = header.version();
-    auto read = readFacts(header);
+    auto read = readFacts(header, this->context.options.dialect);
     if (!read) {
         return tl::unexpected(read.error());
     }
@@ -116,19 +126,44 @@
     if (this->facts.target.path.starts_with(OwnPathPrefix)) {
         return core::notRun(core::Reason::RouteUnknown, "no such resource of this host");
     }
+    const IServingGate *gate = this->context.dependencies.servingGate;
+    if (gate != nullptr) {
+        if (Step serving = gate->checkServing(); !serving) {
+            return serving;
+        }
+    }
+    return this->permit();
+}
+
+Exchange::Step Exchange::permit()
+{
     auto found = findPermission(this->facts, this->context.routes.current());
     if (!found) {
         return tl::unexpected(found.error());
     }
     this->permission = std::move(*found);
+    this->chooseService();
     this->record.route = this->permission.route->name;
-    this->record.service = this->permission.route->service;
     this->record.workspace = this->permission.workspace;
     this->plan.isRepeatable = this->permission.route->isRepeatable;
-    this->plan.head = makeForwardedHead(header, this->facts, *this->permission.route);
-    appendField(this->plan.head, TraceField, this->plan.traceId);
-    const IServingGate *gate = this->context.dependencies.servingGate;
-    return gate == nullptr ? Step {} : gate->checkServing();
+    const Dialect &dialect = this->context.options.dialect;
+    this->plan.head = makeForwardedHead(this->parser.get(), this->facts, this->permission, dialect);
+    appendField(this->plan.head, dialect.traceField, this->plan.traceId);
+    return {};
+}
+
+void Exchange::chooseService()
+{
+    const settings::Route &route = *this->permission.route;
+    this->service = route.service;
+    if (!route.split.empty()) {
+        std::vector<double> weights;
+        std::ranges::transform(route.split, std::back_inserter(weights),
+                               &settings::WeightedService::weight);
+        std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+        this->service = route.split[pick(this->context.random)].service;
+    }
+    this->record.service = this->service;
 }
 
 Exchange::Step Exchange::beginOperation()
@@ -220,18 +255,24 @@
 
 asio::awaitable<Exchange::Step> Exchange::forward()
 {
-    this->context.retries.onRequest();
+    this->context.retries().onRequest(this->service);
     std::optional<core::Error> lastError;
     for (std::size_t attempts = 1;; ++attempts) {
+        if (Step still = this->checkAgain(); !still) {
+            co_return still;
+        }
         const auto grant = co_await this->acquire();
         if (!grant) {
             co_return tl::unexpected(lastError.value_or(grant.error()));
         }
         SlotGuard slot(this->context.dependencies.balancer, grant->id);
+        this->grantedService = this->service;
         if (Step still = this->checkAgain(); !still) {
             co_return still;
         }
+        this->grantedService = {};
         this->record.attempts = static_cast<std::uint32_t>(attempts);
+        this->plan.isFailureDiscarded = this->plan.isRepeatable && this->mayRepeat(attempts);
         AttemptResult result = co_await this->tryEndpoint(grant->endpoint);
         this->judgeEndpoint(result);
         slot.setReport(result.report);
@@ -259,8 +300,9 @@
     balance::IBalancer &balancer = this->context.dependencies.balancer;
     const settings::Route &route = *this->permission.route;
     const core::Instant from = this->context.now();
-    const balance::WorkRequest work { route.service, this->permission.workspace, route.isDeferrable,
-                                      this->plan.deadline, this->failedEndpoints };
+    const balance::WorkRequest work { this->service,         this->permission.workspace,
+                                      route.isDeferrable,    this->plan.deadline,
+                                      this->failedEndpoints, route.isRepeatable };
     const std::uint64_t id =
         balancer.acquire(work, [decision](Grant grant) { decision->set(std::move(grant)); });
     this->onAbort = [this, &balancer, decision, id] {
@@ -275,7 +317,7 @@
     co_return grant;
 }
 
-Exchange::Step Exchange::checkAgain() const
+Exchange::Step Exchange::checkAgain()
 {
     if (this->abortCause != AbortCause::None) {
         return tl::unexpected(this->abortError());
@@ -293,17 +335,22 @@
     if (index == this->permission.index) {
         return {};
     }
-    const auto found = findPermission(this->facts, index);
-    if (!found) {
-        return tl::unexpected(found.error());
+    const Permission former = this->permission;
+    const core::ServiceName formerService = this->service;
+    if (Step permitted = this->permit(); !permitted) {
+        return permitted;
     }
-    const bool isSame = found->workspace == this->permission.workspace
-        && found->route->service == this->permission.route->service
-        && found->route->isRepeatable == this->permission.route->isRepeatable;
-    if (!isSame) {
-        return core::notRun(core::Reason::RouteUnknown, "the route changed while it waited");
+    if (this->permission.workspace != former.workspace) {
+        return core::notRun(core::Reason::KeyUnknown, "the key changed hands while it waited");
     }
-    return {};
+    if (isServedBy(*this->permission.route, formerService)) {
+        this->service = formerService;
+        this->record.service = formerService;
+        return {};
+    }
+    return this->grantedService.isEmpty()
+        ? Step {}
+        : core::notRun(core::Reason::SettingsStale, "the route changed while it waited");
 }
 
 asio::awaitable<AttemptResult> Exchange::tryEndpoint(const settings::Endpoint &endpoint)
@@ -330,17 +377,30 @@
 
 bool Exchange::mayRetry(const AttemptResult &result, std::size_t attempts)
 {
-    if (result.isAnswerStarted || !this->body.isReplayable() || attempts >= MaxAttempts) {
+    if (result.isAnswerStarted || !this->mayRepeat(attempts)) {
         return false;
     }
     const bool isRepeatable =
         this->permission.route->isRepeatable && isIdempotent(this->parser.get().method());
+    const Dialect &dialect = this->context.options.dialect;
     const bool isUnsent = result.error->reason == core::Reason::UpstreamUnreachable;
     const bool isShedSafely = result.error->reason == core::Reason::UpstreamShed
-        && (this->permission.route->isRepeatable || this->operation);
+        && (this->permission.route->isRepeatable || this->operation || dialect.isShedFinal);
     const bool isSafe =
         result.error->verdict == core::Verdict::NotRun ? isUnsent || isShedSafely : isRepeatable;
-    return isSafe && this->context.retries.tryTake();
+    return isSafe && this->context.retries().tryTake(this->service);
+}
+
+bool Exchange::mayRepeat(std::size_t attempts) const
+{
+    return this->body.isReplayable() && attempts < this->maxAttempts()
+        && this->context.retries().hasRetry(this->service);
+}
+
+std::size_t Exchange::maxAttempts() const
+{
+    const std::size_t limit = this->permission.route->maxAttempts;
+    return limit == 0 ? DefaultMaxAttempts : limit;
 }
 
 void Exchange::startDeadline()
@@ -411,15 +471,18 @@
     }
     const int status = core::httpStatus(error.reason);
     if (!error.retryAfter && isWorthRetrying(error, status)) {
-        error.retryAfter = DefaultRetryAfter;
+        error.retryAfter = error.reason == core::Reason::Draining ? DrainingRetryAfter
+                                                                  : DefaultRetryAfter;
     }
     std::string host;
     if (error.reason == core::Reason::OperationElsewhere) {
         host = this->context.operations.ownerOf(this->facts.operationKey).text();
     }
-    const bool isClosing = this->plan.isClosing || this->context.isDraining || !this->body.isDone();
+    const bool isClosing = this->plan.isClosing || this->context.isLeaving || this->context.isDraining
+        || !this->body.isDone();
     const std::string message = toMessage(
-        { std::move(error), status, this->record.traceId, host, isClosing, this->plan.isHead });
+        { std::move(error), status, this->record.traceId, host, isClosing, this->plan.isHead },
+        this->context.options.dialect);
     this->record.status = status;
     const error_code ec = co_await this->caller->write(message);
     co_return !ec && !isClosing;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -37,15 +37,19 @@
 
     asio::awaitable<Step> serve();
     Step check();
+    Step permit();
+    void chooseService();
     Step beginOperation();
     asio::awaitable<Step> serveLookup();
     asio::awaitable<Step> admit();
     asio::awaitable<Step> readBody();
     asio::awaitable<Step> forward();
     asio::awaitable<core::Result<balance::SlotGrant>> acquire();
-    Step checkAgain() const;
+    Step checkAgain();
     asio::awaitable<AttemptResult> tryEndpoint(const settings::Endpoint &endpoint);
     bool mayRetry(const AttemptResult &result, std::size_t attempts);
+    bool mayRepeat(std::size_t attempts) const;
+    std::size_t maxAttempts() const;
     void startDeadline();
     void judgeEndpoint(AttemptResult &result) const;
     core::Error abortError() const;
@@ -59,6 +63,8 @@
     RequestBody body;
     RequestFacts facts;
     Permission permission;
+    core::ServiceName service; //!< that the request goes to
+    core::ServiceName grantedService; //!< of the slot that is held; empty while none is
     ForwardPlan plan;
     RequestRecord record;
     core::Instant startedAt;
--- a/src/entry/include/damaskgate/entry/entryoptions.h
+++ b/src/entry/include/damaskgate/entry/entryoptions.h
@@ -7,12 +7,15 @@
 
 #include "damaskgate/core/names.h"
 
+#include "damaskgate/entry/dialect.h"
+
 namespace damaskgate::entry {
 
 /** Identity and limits of one entry. */
 struct EntryOptions
 {
     core::HostName host;
+    Dialect dialect = ownDialect();
     std::uint64_t incarnation = 0; //!< differs with each start of the process
     std::string fleetSecret; //!< signs operation tickets; equal on all hosts
 
--- a/src/entry/include/damaskgate/entry/entryserver.h
+++ b/src/entry/include/damaskgate/entry/entryserver.h
@@ -18,6 +18,7 @@
 #include "damaskgate/entry/entryoptions.h"
 #include "damaskgate/entry/ilookup.h"
 #include "damaskgate/entry/irequestobserver.h"
+#include "damaskgate/entry/iretrybudget.h"
 #include "damaskgate/entry/iservinggate.h"
 
 namespace damaskgate::entry {
@@ -33,6 +34,7 @@
     ILookup &lookup;
     IRequestObserver &observer;
     const IServingGate *servingGate = nullptr; //!< null: always serving
+    IRetryBudget *retryBudget = nullptr; //!< null: a budget of the entry's own
 };
 
 /**
@@ -63,6 +65,9 @@
      */
     core::Result<std::uint16_t> listen(const std::string &address, std::uint16_t port);
 
+    /** Goes on serving, but each answer ends its connection, so that callers turn elsewhere. */
+    void leave();
+
     /**
      * Stops accepting, lets running exchanges finish, refuses new requests with Draining.
      *
--- a/src/entry/refusal.cpp
+++ b/src/entry/refusal.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds::rep MillisecondsPerSecond = 1000;
+
 std::string statusLine(int status)
 {
     const auto phrase = http::obsolete_reason(static_cast<http::status>(status));
@@ -32,30 +34,37 @@
     }
 }
 
-std::string toSeconds(std::chrono::milliseconds time)
+std::string toSeconds(std::chrono::milliseconds time, bool isFractional)
 {
+    if (isFractional) {
+        const auto whole = std::to_string(time.count() / MillisecondsPerSecond);
+        const auto rest =
+            std::to_string(MillisecondsPerSecond + time.count() % MillisecondsPerSecond);
+        return whole + "." + rest.substr(1);
+    }
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(time).count();
     return std::to_string(std::max<std::chrono::seconds::rep>(seconds, 1));
 }
 
 } // namespace
 
-std::string toMessage(const Refusal &refusal)
+std::string toMessage(const Refusal &refusal, const Dialect &dialect)
 {
     const nlohmann::json body { { "reason", core::toText(refusal.error.reason) },
                                 { "verdict", core::toText(refusal.error.verdict) },
                                 { "detail", refusal.error.detail } };
     std::string message = statusLine(refusal.status);
-    appendField(message, VerdictField, core::toText(refusal.error.verdict));
-    appendField(message, ReasonField, core::toText(refusal.error.reason));
+    appendField(message, dialect.verdictField, core::toText(refusal.error.verdict));
+    appendField(message, dialect.reasonField, core::toText(refusal.error.reason));
     if (!refusal.traceId.empty()) {
-        appendField(message, TraceField, refusal.traceId);
+        appendField(message, dialect.traceField, refusal.traceId);
     }
     if (!refusal.host.empty()) {
-        appendField(message, HostField, refusal.host);
+        appendField(message, dialect.hostField, refusal.host);
     }
     if (refusal.error.retryAfter) {
-        appendField(message, "Retry-After", toSeconds(*refusal.error.retryAfter));
+        appendField(message, "Retry-After",
+                    toSeconds(*refusal.error.retryAfter, dialect.isRetryAfterFractional));
     }
     const std::string text =
         body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
--- a/src/entry/refusal.h
+++ b/src/entry/refusal.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "damaskgate/core/error.h"
+#include "damaskgate/entry/dialect.h"
 
 namespace damaskgate::entry {
 
@@ -19,7 +20,7 @@
 };
 
 /** @return @p refusal as an HTTP message. */
-std::string toMessage(const Refusal &refusal);
+std::string toMessage(const Refusal &refusal, const Dialect &dialect);
 
 /** @return an answer of status 200 with @p body as JSON. */
 std::string makeJsonAnswer(std::string_view body, bool isClosing, bool isHead);
--- a/src/entry/retrybudget.cpp
+++ b/src/entry/retrybudget.cpp
@@ -4,14 +4,19 @@
 
 namespace damaskgate::entry {
 
-void RetryBudget::onRequest()
+void RetryBudget::onRequest(const core::ServiceName & /*service*/)
 {
     this->available = std::min(this->available + RetriesPerRequest, MaxRetries);
 }
 
-bool RetryBudget::tryTake()
+bool RetryBudget::hasRetry(const core::ServiceName & /*service*/)
 {
-    if (this->available < 1) {
+    return this->available >= 1;
+}
+
+bool RetryBudget::tryTake(const core::ServiceName &service)
+{
+    if (!this->hasRetry(service)) {
         return false;
     }
     this->available -= 1;
--- a/src/entry/retrybudget.h
+++ b/src/entry/retrybudget.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "damaskgate/entry/iretrybudget.h"
+
 namespace damaskgate::entry {
 
-/** Bounds retries to a fraction of the requests, so that they cannot multiply an overload. */
-class RetryBudget
+/** Budget of one host over all services. */
+class RetryBudget final : public IRetryBudget
 {
 public:
-    /** Counts a request that is forwarded for the first time. */
-    void onRequest();
-
-    /** @return whether one more retry may be made; takes it from the budget. */
-    bool tryTake();
+    void onRequest(const core::ServiceName &service) override;
+    bool hasRetry(const core::ServiceName &service) override;
+    bool tryTake(const core::ServiceName &service) override;
 
 private:
     static constexpr double RetriesPerRequest = 0.1;
--- /dev/null
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <vector>
+
+#include "damaskgate/fleet/fleettypes.h"
+
+namespace damaskgate::fleet {
+
+/** How the hosts of a fleet follow each other. */
+struct FleetPace
+{
+    core::Duration beatNear = std::chrono::milliseconds(1000); //!< within a failure domain
+    core::Duration beatFar = std::chrono::milliseconds(1500); //!< across failure domains
+    core::Duration lostAfter = std::chrono::milliseconds(4000); //!< of silence
+    core::Duration probeLost = std::chrono::milliseconds(2000); //!< between tries of lost hosts
+    core::Duration forgetAfter = std::chrono::seconds(120); //!< of silence
+};
+
+/**
+ * The hosts that this one knows, found through seeds and through each other; there is no published
+ * list. Pure: knows neither clock nor network.
+ */
+class FleetTable
+{
+public:
+    FleetTable(core::HostName self, core::DomainName domain, FleetPace pace, std::uint64_t seed);
+
+    /** Notes a message of @p from. @return whether the set of live hosts may have changed */
+    bool onHeard(const core::HostName &from, std::uint64_t incarnation, const HostState &state,
+                 core::Instant now);
+
+    /** Learns names that another host or the settings tell. @return whether any was new */
+    bool onTold(std::span<const core::HostName> names, core::Instant now);
+
+    /** Notes that a message goes to @p to now. */
+    void onSent(const core::HostName &to, core::Instant now);
+
+    /** @return hosts that are due for a message, live or not. */
+    std::vector<core::HostName> dueHosts(core::Instant now) const;
+
+    /** Drops hosts that have been silent for long. @return whether any live host was lost */
+    bool expire(core::Instant now);
+
+    /** @return whether @p name was heard of within the time allowed. */
+    bool isLive(const core::HostName &name, core::Instant now) const;
+
+    /** @return hosts heard of lately, without this one. */
+    std::vector<const Member *> liveMembers(core::Instant now) const;
+
+    /** @return every host that was ever told of and is not forgotten. */
+    std::vector<core::HostName> names() const;
+
+    /** @return up to @p count live hosts at random. */
+    std::vector<core::HostName> sample(std::size_t count, core::Instant now);
+
+    /** @return for each other failure domain one live host at random, to hand notes on. */
+    std::vector<core::HostName> relays(core::Instant now);
+
+    /** @return the live hosts of this failure domain. */
+    std::vector<core::HostName> neighbours(core::Instant now) const;
+
+    /**
+     * @return the part of the fleet that this host hears, above 0 and at most 1: live hosts over
+     *         those live within the last @p window, both with this one
+     */
+    double heardShare(core::Duration window, core::Instant now) const;
+
+    const core::HostName &self() const;
+
+private:
+    struct Entry
+    {
+        Member member;
+        bool isHeard = false; //!< ever
+        std::optional<core::Instant> sentAt;
+    };
+
+    bool isEntryLive(const Entry &entry, core::Instant now) const;
+
+    core::HostName selfName;
+    core::DomainName domain;
+    FleetPace pace;
+    std::mt19937_64 random;
+    std::map<core::HostName, Entry> entries;
+};
+
+} // namespace damaskgate::fleet
--- /dev/null
+++ b/src/fleet/include/damaskgate/fleet/fleettypes.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "damaskgate/core/names.h"
+#include "damaskgate/core/time.h"
+
+namespace damaskgate::fleet {
+
+/** A small fact that every host should learn within a fraction of a second. */
+struct Note
+{
+    std::uint8_t kind = 0; //!< meaning of the rest; the publishing module defines it
+    std::uint16_t amount = 0;
+    std::uint32_t subject = 0; //!< hash of the name that it is about
+    std::uint32_t account = 0; //!< hash of a second name; zero: none
+    std::uint32_t origin = 0; //!< hash of the name of the host that published it
+
+    bool operator==(const Note &) const = default;
+};
+
+/** What a host tells of itself in each message. */
+struct HostState
+{
+    core::DomainName domain;
+    bool isLeaving = false; //!< takes no new callers and ends soon
+    bool isServing = false; //!< takes callers
+    std::uint64_t dataRevision = 0; //!< of the published data that it holds
+    std::optional<std::chrono::milliseconds> sourceAge; //!< since it last reached the source itself
+};
+
+/** One message between hosts. */
+struct Beat
+{
+    HostState state;
+    bool isAsking = false; //!< the receiver answers with the hosts it knows
+    bool isForRelay = false; //!< the receiver hands the notes on within its failure domain
+    std::vector<core::HostName> known; //!< some hosts that the sender heard from
+    std::vector<Note> notes;
+};
+
+/** A host as this one sees it. Hosts are named by their IP numbers. */
+struct Member
+{
+    core::HostName name;
+    std::uint64_t incarnation = 0;
+    HostState state;
+    core::Instant heardAt;
+};
+
+} // namespace damaskgate::fleet
--- /dev/null
+++ b/src/gateway/livesettings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <vector>
+
+#include "damaskgate/settings/isettingsstore.h"
+
+namespace damaskgate::gateway {
+
+/** The settings in force on this host. Used on one thread. */
+class LiveSettings final : public settings::ISettingsStore
+{
+public:
+    settings::SettingsPtr current() const override;
+    void addListener(Listener listener) override;
+
+    /** Puts @p next into force if its number is higher. @return whether it did */
+    bool replace(settings::Settings next);
+
+private:
+    settings::SettingsPtr settings;
+    std::vector<Listener> listeners;
+};
+
+} // namespace damaskgate::gateway
--- a/src/health/evidencecollector.cpp
+++ b/src/health/evidencecollector.cpp
@@ -45,6 +45,7 @@
     case balance::Outcome::BrokenOff:
         ++evidence.failed;
         return;
+    case balance::Outcome::Misdirected:
     case balance::Outcome::Shed:
     case balance::Outcome::Cancelled:
         return;
--- /dev/null
+++ b/src/http/httpreader.cpp
@@ -0,0 +1,99 @@
+#include "damaskgate/http/httpreader.h"
+
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace damaskgate::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+tl::unexpected<core::Error> unavailable(const char *step, const beast::error_code &error)
+{
+    return core::notRun(core::Reason::PlatformUnavailable,
+                        std::string(step) + ": " + error.message());
+}
+
+} // namespace
+
+HttpReader::HttpReader(asio::io_context &context, Options options)
+    : options(options), stream(context)
+{}
+
+void HttpReader::setServer(std::string address, std::uint16_t port)
+{
+    this->close();
+    this->address = std::move(address);
+    this->port = port;
+}
+
+void HttpReader::close()
+{
+    beast::error_code ignored;
+    this->stream.socket().close(ignored);
+    this->buffer.clear();
+}
+
+asio::awaitable<core::Result<HttpAnswer>> HttpReader::get(std::string target,
+                                                          std::chrono::milliseconds wait)
+{
+    auto result = co_await this->exchange(std::move(target), this->options.timeout + wait);
+    if (!result || !result->keep_alive()) {
+        this->close();
+    }
+    co_return result;
+}
+
+asio::awaitable<beast::error_code> HttpReader::connect()
+{
+    beast::error_code error;
+    const auto ip = asio::ip::make_address(this->address, error);
+    if (error) {
+        co_return error;
+    }
+    this->close();
+    this->stream.expires_after(this->options.timeout);
+    co_await this->stream.async_connect({ ip, this->port },
+                                        asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+        beast::error_code ignored;
+        this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    co_return error;
+}
+
+asio::awaitable<core::Result<HttpAnswer>> HttpReader::exchange(std::string target,
+                                                               std::chrono::milliseconds timeout)
+{
+    beast::error_code error;
+    if (!this->stream.socket().is_open()) {
+        error = co_await this->connect();
+        if (error) {
+            co_return unavailable("connect", error);
+        }
+    }
+    beast::http::request<beast::http::empty_body> request(beast::http::verb::get, target, 11);
+    request.set(beast::http::field::host, this->address);
+    this->stream.expires_after(timeout);
+    co_await beast::http::async_write(this->stream, request,
+                                      asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return unavailable("write", error);
+    }
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(this->options.maxBodyBytes);
+    co_await beast::http::async_read(this->stream, this->buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return unavailable("read", error);
+    }
+    co_return parser.release();
+}
+
+} // namespace damaskgate::http
--- a/src/metrics/include/damaskgate/metrics/operatorserver.h
+++ b/src/metrics/include/damaskgate/metrics/operatorserver.h
@@ -51,7 +51,7 @@
 
 private:
     class Impl;
-    std::shared_ptr<Impl> impl;
+    std::unique_ptr<Impl> impl;
 };
 
 } // namespace damaskgate::metrics
--- /dev/null
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "damaskgate/core/event.h"
+#include "damaskgate/core/time.h"
+#include "damaskgate/fleet/fleetservice.h"
+#include "damaskgate/http/httpreader.h"
+#include "damaskgate/mirror/imirrorsource.h"
+#include "damaskgate/mirror/mirror.h"
+#include "damaskgate/mirror/readerduty.h"
+
+namespace damaskgate::mirror {
+
+/**
+ * Keeps this host's copy of the published items up to date: from the source when this host is a
+ * reader, else from another host that tells of a higher revision. Lives on one thread.
+ */
+class MirrorService
+{
+public:
+    struct Dependencies
+    {
+        boost::asio::io_context &context;
+        const core::IClock &clock;
+        core::IEventSink &events;
+        fleet::FleetService &fleet;
+        IMirrorSource &source;
+    };
+
+    using Listener = std::function<void()>;
+
+    /** @param peerPort TCP port where other hosts answer with their changes */
+    MirrorService(const Dependencies &dependencies, std::uint16_t peerPort);
+
+    /** Sets who learns that items changed; before start(). */
+    void setListener(Listener listener);
+
+    void start();
+    void stop();
+
+    const Mirror &mirror() const;
+
+    /** @return when this host last reached the source itself. */
+    std::optional<core::Instant> sourceSeenAt() const;
+
+    /**
+     * @return since when some host has reached the source without a gap; nothing while none does.
+     *         As of the last tick.
+     */
+    std::optional<core::Instant> settledSince() const;
+
+    /** @return the answer to another host that holds @p after. */
+    std::string answerChanges(std::uint64_t after) const;
+
+private:
+    boost::asio::awaitable<void> readWhileOnDuty();
+    boost::asio::awaitable<bool> readOnce();
+    boost::asio::awaitable<void> pull();
+    boost::asio::awaitable<core::Result<Changes>> askHost(const core::HostName &host);
+    void onHeard(const fleet::Member &member);
+    void onSourceReached();
+    void onSourceFailed(const core::Error &error);
+    void take(const Changes &changes, std::string_view from);
+    void scheduleTick();
+    void tick();
+    std::vector<ReaderView> otherHosts(core::Instant now) const;
+    void updateSettled(core::Instant now);
+
+    boost::asio::io_context &context;
+    const core::IClock &clock;
+    core::IEventSink &events;
+    fleet::FleetService &fleet;
+    IMirrorSource &source;
+    std::uint16_t peerPort;
+    Listener listener;
+    Mirror copy;
+    ReaderDuty duty;
+    http::HttpReader peerReader;
+    boost::asio::steady_timer tickTimer;
+    boost::asio::steady_timer pauseTimer;
+    std::optional<core::Instant> reachedAt;
+    std::optional<core::Instant> settled;
+    core::Instant startedAt;
+    core::Instant announcedAt;
+    std::map<core::HostName, core::Instant> seenAtByHost; //!< when others reached the source
+    core::HostName teller; //!< of the highest revision heard
+    core::HostName connectedTo;
+    std::uint64_t toldRevision = 0;
+    int failures = 0; //!< of the source, in a row
+    bool isReading = false;
+    bool isPulling = false;
+    bool isStopped = false;
+};
+
+} // namespace damaskgate::mirror
--- /dev/null
+++ b/src/mirror/mirror.capnp
@@ -0,0 +1,22 @@
+@0xc92d5ae1f0836b47;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("damaskgate::mirror::wire");
+
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct Removal {
+  key @0 :Text;
+  revision @1 :UInt64;
+}
+
+struct Changes {
+  revision @0 :UInt64;
+  isWhole @1 :Bool;
+  items @2 :List(Item);
+  removals @3 :List(Removal);
+}
--- a/src/peer/envelope.cpp
+++ b/src/peer/envelope.cpp
@@ -44,7 +44,8 @@
     if (reader.getVersion() != WireVersion) {
         return core::notRun(core::Reason::BadRequest, "datagram of another version");
     }
-    if (self.text() != reader.getTo().cStr()) {
+    const core::HostName to(reader.getTo().cStr());
+    if (!to.isEmpty() && to != self) {
         return core::notRun(core::Reason::BadRequest, "datagram for another host");
     }
     const auto payload = reader.getPayload();
--- a/src/peer/include/damaskgate/peer/envelope.h
+++ b/src/peer/include/damaskgate/peer/envelope.h
@@ -21,7 +21,7 @@
 struct Envelope
 {
     core::HostName from;
-    core::HostName to;
+    core::HostName to; //!< empty: any host
     std::uint64_t incarnation = 0; //!< of the sending process
     std::uint64_t sent = 0; //!< datagrams that the sending process has sent before
     MessageKind kind = MessageKind::Heartbeat;
--- a/src/peer/include/damaskgate/peer/ipeernetwork.h
+++ b/src/peer/include/damaskgate/peer/ipeernetwork.h
@@ -17,6 +17,7 @@
     Token = 3, //!< limits
     Health = 4, //!< health
     Slot = 5, //!< balance
+    Fleet = 6, //!< fleet
 };
 
 /** A datagram from another host, authenticated. */
@@ -40,6 +41,15 @@
     virtual void send(const core::HostName &to, MessageKind kind,
                       std::span<const std::byte> payload) = 0;
 
+    /** Sends the same @p payload to every one of @p hosts. */
+    virtual void sendToAll(std::span<const core::HostName> hosts, MessageKind kind,
+                           std::span<const std::byte> payload)
+    {
+        for (const core::HostName &host : hosts) {
+            this->send(host, kind, payload);
+        }
+    }
+
     /** Calls @p handler on the control thread for each datagram of @p kind; one for each kind. */
     virtual void setHandler(MessageKind kind, Handler handler) = 0;
 };
--- a/src/peer/include/damaskgate/peer/udppeernetwork.h
+++ b/src/peer/include/damaskgate/peer/udppeernetwork.h
@@ -73,6 +73,8 @@
 
     void send(const core::HostName &to, MessageKind kind,
               std::span<const std::byte> payload) override;
+    void sendToAll(std::span<const core::HostName> hosts, MessageKind kind,
+                   std::span<const std::byte> payload) override;
     void setHandler(MessageKind kind, Handler handler) override;
 
 private:
--- a/src/peer/udppeernetwork.cpp
+++ b/src/peer/udppeernetwork.cpp
@@ -1,6 +1,7 @@
 #include "damaskgate/peer/udppeernetwork.h"
 
 #include <array>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <unordered_map>
@@ -27,7 +28,8 @@
     core::Result<std::uint16_t> start(const std::string &address, std::uint16_t port);
     void stop();
     void setHosts(std::span<const PeerAddress> hosts);
-    void send(const core::HostName &to, MessageKind kind, std::span<const std::byte> payload);
+    void send(std::span<const core::HostName> hosts, MessageKind kind,
+              std::span<const std::byte> payload);
     PeerTraffic traffic() const;
 
     void setFault(IDatagramFault *newFault)
@@ -42,6 +44,7 @@
     }
 
 private:
+    std::vector<udp::endpoint> targetsOf(std::span<const core::HostName> hosts) const;
     void receiveNext();
     void countReceived(std::size_t size);
     void onReceived(std::size_t size);
@@ -53,7 +56,7 @@
     mutable std::mutex mutex; //!< guards the socket against use from two threads, and what follows
     udp::socket socket;
     std::unordered_map<core::HostName, udp::endpoint> endpoints;
-    std::uint64_t sent = 0;
+    std::atomic<std::uint64_t> sent = 0;
     PeerTraffic counted;
     IDatagramFault *fault = nullptr;
     std::map<MessageKind, Handler> handlers;
@@ -110,38 +113,47 @@
     this->endpoints = std::move(replaced);
 }
 
-void UdpPeerNetwork::Impl::send(const core::HostName &to, MessageKind kind,
+void UdpPeerNetwork::Impl::send(std::span<const core::HostName> hosts, MessageKind kind,
                                 std::span<const std::byte> payload)
 {
     if (payload.size() > MaxPayloadBytes) {
-        this->events.record(
-            { "peer-payload-too-large", { { "host", to.text() }, { "bytes", payload.size() } } });
+        this->events.record({ "peer-payload-too-large", { { "bytes", payload.size() } } });
         return;
     }
-    Envelope envelope { this->identity.self,
-                        to,
-                        this->identity.incarnation,
-                        0,
-                        kind,
-                        { payload.begin(), payload.end() } };
-    udp::endpoint target;
-    {
-        const std::lock_guard lock(this->mutex);
-        const auto found = this->endpoints.find(to);
-        const bool isDropped = this->fault != nullptr && this->fault->dropsTo(to);
-        if (found == this->endpoints.end() || isDropped) {
-            return;
-        }
-        target = found->second;
-        envelope.sent = this->sent++;
+    const std::vector<udp::endpoint> targets = this->targetsOf(hosts);
+    if (targets.empty()) {
+        return;
     }
+    const Envelope envelope { this->identity.self,
+                              hosts.size() == 1 ? hosts.front() : core::HostName {},
+                              this->identity.incarnation,
+                              this->sent++,
+                              kind,
+                              { payload.begin(), payload.end() } };
     const std::vector<std::byte> datagram = sealEnvelope(envelope, this->identity.secret);
     const std::lock_guard lock(this->mutex);
-    ++this->counted.sentDatagrams;
-    this->counted.sentBytes += datagram.size();
-    //! NOTE A full socket buffer loses the datagram, as the network may.
-    boost::system::error_code ignored;
-    this->socket.send_to(asio::buffer(datagram.data(), datagram.size()), target, 0, ignored);
+    this->counted.sentDatagrams += targets.size();
+    this->counted.sentBytes += datagram.size() * targets.size();
+    for (const udp::endpoint &target : targets) {
+        //! NOTE A full socket buffer loses the datagram, as the network may.
+        boost::system::error_code ignored;
+        this->socket.send_to(asio::buffer(datagram.data(), datagram.size()), target, 0, ignored);
+    }
+}
+
+std::vector<udp::endpoint>
+UdpPeerNetwork::Impl::targetsOf(std::span<const core::HostName> hosts) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<udp::endpoint> targets;
+    for (const core::HostName &host : hosts) {
+        const auto found = this->endpoints.find(host);
+        const bool isDropped = this->fault != nullptr && this->fault->dropsTo(host);
+        if (found != this->endpoints.end() && !isDropped) {
+            targets.push_back(found->second);
+        }
+    }
+    return targets;
 }
 
 void UdpPeerNetwork::Impl::receiveNext()
@@ -247,7 +259,13 @@
 void UdpPeerNetwork::send(const core::HostName &to, MessageKind kind,
                           std::span<const std::byte> payload)
 {
-    this->impl->send(to, kind, payload);
+    this->impl->send({ &to, 1 }, kind, payload);
+}
+
+void UdpPeerNetwork::sendToAll(std::span<const core::HostName> hosts, MessageKind kind,
+                               std::span<const std::byte> payload)
+{
+    this->impl->send(hosts, kind, payload);
 }
 
 void UdpPeerNetwork::setHandler(MessageKind kind, Handler handler)
--- a/src/platform/backoff.cpp
+++ b/src/publication/backoff.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 Backoff::Backoff(std::chrono::milliseconds first, std::chrono::milliseconds longest,
                  std::uint64_t seed)
@@ -22,4 +22,4 @@
     this->step = this->first;
 }
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/backoff.h
+++ b/src/publication/backoff.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <random>
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 /** Pauses between failed calls: doubled each time up to a longest one, with jitter. */
 class Backoff
@@ -25,4 +25,4 @@
     std::mt19937_64 random;
 };
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/hostlist.cpp
+++ b/src/publication/hostlist.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 namespace {
 
@@ -67,4 +67,4 @@
     return hosts;
 }
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/hostlist.h
+++ b/src/publication/hostlist.h
@@ -4,9 +4,9 @@
 #include <string_view>
 #include <vector>
 
-#include "damaskgate/platform/ihostlistlistener.h"
+#include "damaskgate/publication/ihostlistlistener.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 /**
  * Reads the platform's list of hosts. Entries that cannot be understood are left out: the list is
@@ -16,4 +16,4 @@
  */
 std::optional<std::vector<ListedHost>> parseHostList(std::string_view text);
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/include/damaskgate/platform/ihostlistlistener.h
+++ b/src/publication/include/damaskgate/publication/ihostlistlistener.h
@@ -7,7 +7,7 @@
 
 #include "damaskgate/core/names.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 /** A host on the platform's list. The list lags behind what really runs. */
 struct ListedHost
@@ -36,4 +36,4 @@
     virtual void onHostList(const std::vector<ListedHost> &hosts) = 0;
 };
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/include/damaskgate/platform/iplatformlistener.h
+++ b/src/publication/include/damaskgate/publication/iplatformlistener.h
@@ -3,7 +3,7 @@
 #include "damaskgate/core/time.h"
 #include "damaskgate/settings/settingstypes.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 /** Learns what the platform told, as evidence that settings in force are fresh. */
 class IPlatformListener
@@ -20,4 +20,4 @@
     virtual void onPlatformAnswered(core::Instant sentAt) = 0;
 };
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/include/damaskgate/platform/platformreader.h
+++ b/src/publication/include/damaskgate/publication/platformreader.h
@@ -13,7 +13,7 @@
 #include "damaskgate/settings/hostsettings.h"
 #include "damaskgate/settings/settingsstore.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 class IHostListListener;
 class IPlatformListener;
@@ -69,4 +69,4 @@
     std::shared_ptr<Session> session;
 };
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/include/damaskgate/platform/watchduty.h
+++ b/src/publication/include/damaskgate/publication/watchduty.h
@@ -4,9 +4,9 @@
 #include <span>
 
 #include "damaskgate/core/names.h"
-#include "damaskgate/platform/platformreader.h"
+#include "damaskgate/publication/platformreader.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 /** A host that could watch the platform. */
 struct WatchCandidate
@@ -45,4 +45,4 @@
     WatchLimits limits;
 };
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/kvclient.h
+++ b/src/publication/kvclient.h
@@ -8,13 +8,12 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include "damaskgate/core/error.h"
+#include "damaskgate/http/httpreader.h"
 #include "damaskgate/settings/hostsettings.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 /** A value of the platform with the index to watch it from. */
 struct KvValue
@@ -52,14 +51,7 @@
     void close();
 
 private:
-    boost::asio::awaitable<core::Result<KvValue>> exchange(std::string target,
-                                                           std::chrono::milliseconds timeout);
-    boost::asio::awaitable<boost::system::error_code> connect();
-
-    std::chrono::milliseconds timeout;
-    settings::SocketAddress replica;
-    boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    http::HttpReader reader;
 };
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/platformreader.cpp
+++ b/src/publication/platformreader.cpp
@@ -1,4 +1,4 @@
-#include "damaskgate/platform/platformreader.h"
+#include "damaskgate/publication/platformreader.h"
 
 #include <algorithm>
 #include <optional>
@@ -13,14 +13,14 @@
 #include "damaskgate/core/error.h"
 #include "damaskgate/settings/manifest.h"
 
-#include "damaskgate/platform/ihostlistlistener.h"
-#include "damaskgate/platform/iplatformlistener.h"
+#include "damaskgate/publication/ihostlistlistener.h"
+#include "damaskgate/publication/iplatformlistener.h"
 
 #include "backoff.h"
 #include "hostlist.h"
 #include "kvclient.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 namespace asio = boost::asio;
 
@@ -295,4 +295,4 @@
     this->session->stop();
 }
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/platform/tests/backoff_test.cpp
+++ b/src/publication/tests/backoff_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-using namespace damaskgate::platform;
+using namespace damaskgate::publication;
 using namespace std::chrono_literals;
 
 TEST(Backoff_Tests, Next_Repeated_GrowsUpToTheLongest)
--- a/src/platform/tests/hostlist_test.cpp
+++ b/src/publication/tests/hostlist_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-using namespace damaskgate::platform;
+using namespace damaskgate::publication;
 
 TEST(HostList_Tests, Parse_OddEntries_AreLeftOut)
 {
--- a/src/platform/tests/platformreader_test.cpp
+++ b/src/publication/tests/platformreader_test.cpp
@@ -1,4 +1,4 @@
-#include "damaskgate/platform/platformreader.h"
+#include "damaskgate/publication/platformreader.h"
 
 #include <functional>
 #include <memory>
@@ -12,14 +12,14 @@
 
 #include "damaskgate/settings/manifest.h"
 
-#include "damaskgate/platform/ihostlistlistener.h"
-#include "damaskgate/platform/iplatformlistener.h"
+#include "damaskgate/publication/ihostlistlistener.h"
+#include "damaskgate/publication/iplatformlistener.h"
 
 #include "platformserver.h"
 #include "testtree.h"
 
 using namespace damaskgate;
-using namespace damaskgate::platform;
+using namespace damaskgate::publication;
 using settings::tests::bundleOf;
 using settings::tests::TreeTexts;
 using settings::tests::validTree;
--- a/src/platform/tests/watchduty_test.cpp
+++ b/src/publication/tests/watchduty_test.cpp
@@ -1,4 +1,4 @@
-#include "damaskgate/platform/watchduty.h"
+#include "damaskgate/publication/watchduty.h"
 
 #include <algorithm>
 #include <iterator>
@@ -9,7 +9,7 @@
 #include <gtest/gtest.h>
 
 using namespace damaskgate;
-using namespace damaskgate::platform;
+using namespace damaskgate::publication;
 
 namespace {
 
--- a/src/platform/watchduty.cpp
+++ b/src/publication/watchduty.cpp
@@ -1,4 +1,4 @@
-#include "damaskgate/platform/watchduty.h"
+#include "damaskgate/publication/watchduty.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,7 +9,7 @@
 
 #include "damaskgate/core/hash.h"
 
-namespace damaskgate::platform {
+namespace damaskgate::publication {
 
 namespace {
 
@@ -67,4 +67,4 @@
     return { std::chrono::milliseconds(0), std::max(pause, this->limits.shortestPause) };
 }
 
-} // namespace damaskgate::platform
+} // namespace damaskgate::publication
--- a/src/daemon/requestrecorder.h
+++ b/src/requestlog/include/damaskgate/requestlog/requestrecorder.h
@@ -7,7 +7,7 @@
 #include "damaskgate/entry/irequestobserver.h"
 #include "damaskgate/metrics/registry.h"
 
-namespace damaskgate::daemon {
+namespace damaskgate::requestlog {
 
 /** Turns finished requests into metrics, and refusals into events. Used on the data thread. */
 class RequestRecorder final : public entry::IRequestObserver
@@ -35,4 +35,4 @@
     std::map<core::ServiceName, ServiceMetrics> services;
 };
 
-} // namespace damaskgate::daemon
+} // namespace damaskgate::requestlog
--- a/src/daemon/requestrecorder.cpp
+++ b/src/requestlog/requestrecorder.cpp
@@ -1,9 +1,9 @@
-#include "requestrecorder.h"
+#include "damaskgate/requestlog/requestrecorder.h"
 
 #include <algorithm>
 #include <chrono>
 
-namespace damaskgate::daemon {
+namespace damaskgate::requestlog {
 
 namespace {
 
@@ -72,4 +72,4 @@
                             { "status", record.status } } });
 }
 
-} // namespace damaskgate::daemon
+} // namespace damaskgate::requestlog
--- a/src/routing/include/damaskgate/routing/keyfilter.h
+++ b/src/routing/include/damaskgate/routing/keyfilter.h
@@ -12,6 +12,9 @@
 class KeyFilter
 {
 public:
+    /** @param scheme of the Authorization field that carries a key, with a blank; outlives this */
+    explicit KeyFilter(std::string_view scheme = "Bearer ") : scheme(scheme) {}
+
     /** Takes the value of a field; only those that carry a key are kept. */
     void inspectField(std::string_view name, std::string_view value);
 
@@ -36,6 +39,7 @@
 private:
     void addKey(std::string_view value);
 
+    std::string_view scheme;
     std::vector<std::string> keys;
 };
 
--- a/src/routing/include/damaskgate/routing/requesttarget.h
+++ b/src/routing/include/damaskgate/routing/requesttarget.h
@@ -12,6 +12,7 @@
 {
     std::string path; //!< starts with a slash; only reserved characters are percent-encoded
     std::string query; //!< without the question mark, as the caller sent it
+    std::string authority; //!< of an absolute form; empty otherwise
 };
 
 /**
--- a/src/routing/include/damaskgate/routing/routeindex.h
+++ b/src/routing/include/damaskgate/routing/routeindex.h
@@ -25,10 +25,13 @@
      *
      * @param path normalised by normalizeTarget()
      * @param method of the request
+     * @param host that the request is addressed to, in lower case and without a port; its own
+     *        routes go before those of any host
      * @return the route, which lives as long as the index, or RouteUnknown
      */
     core::Result<const settings::Route *> findRoute(std::string_view path,
-                                                    std::string_view method) const;
+                                                    std::string_view method,
+                                                    std::string_view host = {}) const;
 
     /** @return the workspace that @p key is in force for, or KeyMissing or KeyUnknown. */
     core::Result<const settings::Workspace *> findWorkspace(std::string_view key) const;
@@ -48,7 +51,7 @@
     };
     using RouteList = std::vector<const settings::Route *>;
 
-    const RouteList *findLongestPrefix(std::string_view path) const;
+    const RouteList *findLongestPrefix(std::string_view host, std::string_view path) const;
 
     settings::SettingsPtr source;
     std::unordered_map<std::string, RouteList, TextHash, std::equal_to<>> routesByPrefix;
--- a/src/routing/keyfilter.cpp
+++ b/src/routing/keyfilter.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <openssl/evp.h>
+#include "damaskgate/core/base64.h"
 
 #include "percentcoding.h"
 
@@ -14,7 +14,6 @@
 constexpr std::string_view AuthorizationField = "Authorization";
 constexpr std::string_view KeyField = "Damaskgate-Key";
 constexpr std::string_view KeyParameter = "damaskgate_key";
-constexpr std::string_view BearerScheme = "Bearer ";
 constexpr std::string_view BasicScheme = "Basic ";
 constexpr int MaxDecodings = 4; //!< of text that was percent-encoded several times
 
@@ -34,18 +33,6 @@
         && equalsIgnoringCase(credentials.substr(0, scheme.size()), scheme);
 }
 
-std::string decodeBase64(std::string_view text)
-{
-    std::string padded(text);
-    padded.resize((text.size() + 3) / 4 * 4, '=');
-    std::string decoded(padded.size() / 4 * 3, '\0');
-    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(decoded.data()),
-                                     reinterpret_cast<const unsigned char *>(padded.data()),
-                                     static_cast<int>(padded.size()));
-    decoded.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
-    return decoded;
-}
-
 bool isKeyParameter(std::string_view parameter)
 {
     return decodePercent(parameter.substr(0, parameter.find('='))) == KeyParameter;
@@ -76,8 +63,8 @@
         this->addKey(value);
         return;
     }
-    if (equalsIgnoringCase(name, AuthorizationField) && hasScheme(value, BearerScheme)) {
-        this->addKey(value.substr(BearerScheme.size()));
+    if (equalsIgnoringCase(name, AuthorizationField) && hasScheme(value, this->scheme)) {
+        this->addKey(value.substr(this->scheme.size()));
     }
 }
 
@@ -107,11 +94,11 @@
         return true;
     }
     const bool isAuthorization = equalsIgnoringCase(name, AuthorizationField);
-    if (isAuthorization && hasScheme(value, BearerScheme)) {
+    if (isAuthorization && hasScheme(value, this->scheme)) {
         return true;
     }
     if (isAuthorization && hasScheme(value, BasicScheme)
-        && this->containsKey(decodeBase64(trimmed(value.substr(BasicScheme.size()))))) {
+        && this->containsKey(core::decodeBase64(trimmed(value.substr(BasicScheme.size()))))) {
         return true;
     }
     return this->containsKey(name) || this->containsKey(value);
--- a/src/routing/requesttarget.cpp
+++ b/src/routing/requesttarget.cpp
@@ -28,10 +28,16 @@
     return c > ' ' && c != 0x7f && c != '#' && c != '\\';
 }
 
-core::Result<std::string_view> toOriginForm(std::string_view target)
+struct TargetParts
+{
+    std::string_view authority;
+    std::string_view origin; //!< path and query
+};
+
+core::Result<TargetParts> splitTarget(std::string_view target)
 {
     if (target.starts_with('/')) {
-        return target;
+        return TargetParts { {}, target };
     }
     const bool isAbsolute = target.size() > AbsolutePrefix.size()
         && equalsIgnoringCase(target.substr(0, AbsolutePrefix.size()), AbsolutePrefix);
@@ -43,7 +49,7 @@
     if (authority.substr(0, pathStart).find_first_of("@?") != std::string_view::npos) {
         return core::notRun(core::Reason::BadRequest, "target has a bad authority");
     }
-    return authority.substr(pathStart);
+    return TargetParts { authority.substr(0, pathStart), authority.substr(pathStart) };
 }
 
 // Appends one encoded octet; false when it may be read as structure by some upstream.
@@ -111,23 +117,24 @@
 
 core::Result<RequestTarget> normalizeTarget(std::string_view target)
 {
-    const auto origin = toOriginForm(target);
-    if (!origin) {
-        return tl::unexpected(origin.error());
+    const auto parts = splitTarget(target);
+    if (!parts) {
+        return tl::unexpected(parts.error());
     }
-    const auto queryStart = std::min(origin->find('?'), origin->size());
-    auto path = normalizePath(origin->substr(0, queryStart));
+    const std::string_view origin = parts->origin;
+    const auto queryStart = std::min(origin.find('?'), origin.size());
+    auto path = normalizePath(origin.substr(0, queryStart));
     if (!path) {
         return tl::unexpected(path.error());
     }
     if (hasAmbiguousSegment(*path)) {
         return core::notRun(core::Reason::BadRequest, "path has an empty or dot segment");
     }
-    const auto query = origin->substr(std::min(queryStart + 1, origin->size()));
+    const auto query = origin.substr(std::min(queryStart + 1, origin.size()));
     if (!std::ranges::all_of(query, isQueryCharacter)) {
         return core::notRun(core::Reason::BadRequest, "query has a forbidden character");
     }
-    return RequestTarget { std::move(*path), std::string(query) };
+    return RequestTarget { std::move(*path), std::string(query), std::string(parts->authority) };
 }
 
 } // namespace damaskgate::routing
--- a/src/routing/routeindex.cpp
+++ b/src/routing/routeindex.cpp
@@ -38,7 +38,8 @@
         return;
     }
     for (const auto &[name, route] : this->source->routes) {
-        this->routesByPrefix[std::string(withoutTrailingSlash(route.pathPrefix))].push_back(&route);
+        this->routesByPrefix[route.host + std::string(withoutTrailingSlash(route.pathPrefix))]
+            .push_back(&route);
     }
     this->workspacesByKey.reserve(this->source->workspaces.size());
     for (const auto &[name, workspace] : this->source->workspaces) {
@@ -48,10 +49,13 @@
     }
 }
 
-core::Result<const settings::Route *> RouteIndex::findRoute(std::string_view path,
-                                                            std::string_view method) const
+core::Result<const settings::Route *>
+RouteIndex::findRoute(std::string_view path, std::string_view method, std::string_view host) const
 {
-    const RouteList *routes = this->findLongestPrefix(path);
+    const RouteList *routes = this->findLongestPrefix(host, path);
+    if (routes == nullptr && !host.empty()) {
+        routes = this->findLongestPrefix({}, path);
+    }
     if (routes == nullptr) {
         return core::notRun(core::Reason::RouteUnknown, "no route for this path");
     }
@@ -82,15 +86,17 @@
     return this->source;
 }
 
-const RouteIndex::RouteList *RouteIndex::findLongestPrefix(std::string_view path) const
+const RouteIndex::RouteList *RouteIndex::findLongestPrefix(std::string_view host,
+                                                           std::string_view path) const
 {
-    std::string_view prefix = withoutTrailingSlash(path);
+    const std::string address = std::string(host) + std::string(withoutTrailingSlash(path));
+    std::string_view prefix = address;
     while (true) {
         const auto found = this->routesByPrefix.find(prefix);
         if (found != this->routesByPrefix.end()) {
             return &found->second;
         }
-        if (prefix.empty()) {
+        if (prefix.size() <= host.size()) {
             return nullptr;
         }
         prefix = prefix.substr(0, prefix.rfind('/'));
--- a/src/settings/include/damaskgate/settings/settingstypes.h
+++ b/src/settings/include/damaskgate/settings/settingstypes.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,21 +49,34 @@
     double ratePerSecond = 0;
     double burst = 0; //!< requests
     std::uint32_t weight = 1; //!< share of the queues in front of a busy service
+    std::optional<std::uint32_t> priority; //!< takes precedence over that of the route
     std::vector<core::Sha256> keyHashes; //!< keys in force
 };
 
+/** A service that gets a share of a route's requests. */
+struct WeightedService
+{
+    core::ServiceName service;
+    double weight = 0; //!< relative to the other services of the route
+};
+
 /** Maps requests to a service; the longest matching path prefix wins. */
 struct Route
 {
     core::RouteName name;
+    std::string host; //!< name that requests are addressed to; empty: any
     std::string pathPrefix;
     std::vector<std::string> methods; //!< empty: all
     core::ServiceName service;
+    std::vector<WeightedService> split; //!< shares the requests out; empty: all go to service
     std::vector<core::WorkspaceName> workspaces; //!< that may use the route; empty: all
     bool isOpen = false; //!< needs no key
     bool isRepeatable = true; //!< may be sent to an upstream more than once
     bool isDeferrable = false; //!< gives way while the service is busy
     core::Duration timeout {}; //!< for the whole exchange
+    core::Duration latencyObjective {}; //!< zero: none
+    std::uint32_t priority = 0; //!< rank among requests; the lowest goes first
+    std::uint32_t maxAttempts = 0; //!< endpoints tried for one request; zero: the entry's limit
 };
 
 struct Endpoint
@@ -84,6 +98,8 @@
     core::Duration rampTime {}; //!< from cold to full load
     std::uint32_t queueLimit = 64; //!< requests waiting in one entry host
     core::Duration probeInterval {};
+    double coldRatePerSecond = 0; //!< requests that a cold endpoint bears; zero: no limit known
+    std::string healthPath;
     std::map<core::EndpointName, Endpoint> endpoints;
 };
 
--- a/src/timeline/eventlog.cpp
+++ b/src/timeline/eventlog.cpp
@@ -26,7 +26,7 @@
 spdlog::sink_ptr makeSink(const std::string &path)
 {
     if (path.empty()) {
-        return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+        return std::make_shared<spdlog::sinks::stdout_sink_mt>();
     }
     return std::make_shared<spdlog::sinks::basic_file_sink_mt>(path);
 }
--- a/src/timeline/include/damaskgate/timeline/eventlog.h
+++ b/src/timeline/include/damaskgate/timeline/eventlog.h
@@ -16,7 +16,7 @@
 {
     core::HostName host;
     std::uint64_t incarnation = 0;
-    std::string path; //!< file that lines are appended to; empty: standard error
+    std::string path; //!< file that lines are appended to; empty: standard output
     std::size_t queueLines = 8192; //!< waiting to be written; more are dropped
     std::size_t keptLines = 1024; //!< latest lines kept in memory
 };
--- /dev/null
+++ b/src/upstreams/endpointbook.cpp
@@ -0,0 +1,240 @@
+#include "damaskgate/upstreams/endpointbook.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "damaskgate/core/hash.h"
+
+namespace damaskgate::upstreams {
+
+namespace {
+
+constexpr double BusyCost = 0.25; // of an endpoint whose slots are all taken, in failed requests
+constexpr double QueueCost = 0.5; // of each request for each slot that waits before
+constexpr double FullCost = 0.6; // of an endpoint that has refused work lately
+constexpr double TieSpread = 0.06; // hosts that choose at the same time spread over equal ones
+constexpr core::Duration FullFor = std::chrono::milliseconds(300);
+constexpr double ShedWeight = 0.3; // a refusal of work is a hint of a bad spell only
+
+bool isFailure(balance::Outcome outcome)
+{
+    using balance::Outcome;
+    return outcome == Outcome::ServerError || outcome == Outcome::ConnectFailed
+        || outcome == Outcome::Timeout || outcome == Outcome::BrokenOff;
+}
+
+} // namespace
+
+EndpointBook::EndpointBook(ChoiceModel model, std::uint64_t seed) : model(model), random(seed) {}
+
+void EndpointBook::setServices(std::map<core::ServiceName, ServiceBounds> services)
+{
+    this->services = std::move(services);
+}
+
+void EndpointBook::setWithdrawnDomains(std::set<core::DomainName> domains)
+{
+    this->withdrawn = std::move(domains);
+}
+
+void EndpointBook::setEndpoints(std::span<const RegisteredEndpoint> endpoints, bool isSettled,
+                                core::Instant now)
+{
+    this->wasFilled = true;
+    std::set<core::EndpointName> listed;
+    for (const RegisteredEndpoint &facts : endpoints) {
+        listed.insert(facts.endpoint.name);
+        this->put(facts, now);
+    }
+    const auto isGone = [&listed, isSettled](const auto &item) {
+        const bool isKept = !isSettled && !item.second.facts.isLeaving;
+        return !listed.contains(item.first) && !isKept;
+    };
+    std::erase_if(this->entries, isGone);
+    this->namesByTag.clear();
+    for (const auto &[name, entry] : this->entries) {
+        this->namesByTag.emplace(core::tagOf(name.text()), name);
+    }
+}
+
+void EndpointBook::put(const RegisteredEndpoint &facts, core::Instant now)
+{
+    const auto found = this->entries.find(facts.endpoint.name);
+    const bool isSameStart = found != this->entries.end()
+        && found->second.facts.startedAtMillis == facts.startedAtMillis;
+    if (found != this->entries.end()) {
+        const auto order = std::pair(facts.startedAtMillis, facts.sequence);
+        const RegisteredEndpoint &held = found->second.facts;
+        if (facts.revision == held.revision
+            || order < std::pair(held.startedAtMillis, held.sequence)) {
+            return;
+        }
+    }
+    if (!isSameStart) {
+        const EndpointBelief fresh(this->model.belief, now);
+        this->entries.insert_or_assign(facts.endpoint.name, Entry { facts, fresh, {}, {}, {}, {}, {} });
+    }
+    Entry &entry = this->entries.at(facts.endpoint.name);
+    entry.facts = facts;
+    if (facts.coldFor <= core::Duration::zero()) {
+        return;
+    }
+    entry.coldUntil = std::max(entry.coldUntil, now + facts.coldFor);
+    const auto bounds = this->services.find(facts.service);
+    if (!entry.coldBucket && bounds != this->services.end()
+        && bounds->second.coldRatePerSecond > 0) {
+        const double rate = bounds->second.coldRatePerSecond * this->model.coldRateUsed;
+        entry.coldBucket.emplace(limits::BucketSize { rate, this->model.coldBurst }, now);
+    }
+}
+
+std::optional<Choice> EndpointBook::choose(const balance::WorkRequest &request, core::Instant now)
+{
+    Entry *best = nullptr;
+    double bestCost = 0;
+    Entry *retrial = nullptr;
+    std::uniform_real_distribution<double> unit(0, 1);
+    for (auto &[name, entry] : this->entries) {
+        if (!this->isUsable(entry, request, now)) {
+            continue;
+        }
+        if (this->isRetrialDue(entry, now)) {
+            retrial = &entry;
+        }
+        const double cost = this->costOf(entry, now) + TieSpread * unit(this->random);
+        if (best == nullptr || cost < bestCost) {
+            best = &entry;
+            bestCost = cost;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    const bool isRetrial =
+        retrial != nullptr && best != retrial && unit(this->random) < this->model.retrialShare;
+    Entry &chosen = isRetrial ? *retrial : *best;
+    if (now < chosen.coldUntil && chosen.coldBucket) {
+        chosen.coldBucket->tryTake(now);
+    }
+    return Choice { { 0, chosen.facts.service, chosen.facts.endpoint },
+                    chosen.belief.badness(now),
+                    chosen.running.size(),
+                    isRetrial };
+}
+
+void EndpointBook::onStarted(std::uint32_t tag, std::uint32_t host, core::Instant now)
+{
+    Entry *entry = this->findByTag(tag);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->running.push_back({ host, now });
+    if (entry->belief.badness(now) > this->model.suspectAbove) {
+        entry->retriedAt = now;
+    }
+    if (host != 0 && now < entry->coldUntil && entry->coldBucket) {
+        entry->coldBucket->takeRemote(now);
+    }
+}
+
+void EndpointBook::onEnded(std::uint32_t tag, std::uint32_t host, balance::Outcome outcome,
+                           core::Instant now)
+{
+    Entry *entry = this->findByTag(tag);
+    if (entry == nullptr) {
+        return;
+    }
+    const auto start = std::ranges::find(entry->running, host, &Start::host);
+    if (start != entry->running.end()) {
+        entry->running.erase(start);
+    }
+    switch (outcome) {
+    case balance::Outcome::Cancelled:
+        return;
+    case balance::Outcome::Misdirected:
+        entry->isMisdirected = true;
+        return;
+    case balance::Outcome::Shed:
+        entry->fullUntil = now + FullFor;
+        entry->belief.onOutcome(true, ShedWeight, now);
+        return;
+    default:
+        entry->belief.onOutcome(isFailure(outcome), 1, now);
+    }
+}
+
+bool EndpointBook::isFilled() const
+{
+    return this->wasFilled;
+}
+
+std::optional<double> EndpointBook::badnessOf(const core::EndpointName &name,
+                                              core::Instant now) const
+{
+    const auto found = this->entries.find(name);
+    if (found == this->entries.end()) {
+        return std::nullopt;
+    }
+    return found->second.belief.badness(now);
+}
+
+std::optional<core::ServiceName> EndpointBook::serviceOf(std::uint32_t tag) const
+{
+    const auto name = this->namesByTag.find(tag);
+    if (name == this->namesByTag.end()) {
+        return std::nullopt;
+    }
+    return this->entries.at(name->second).facts.service;
+}
+
+bool EndpointBook::isUsable(Entry &entry, const balance::WorkRequest &request,
+                            core::Instant now) const
+{
+    const settings::Endpoint &endpoint = entry.facts.endpoint;
+    if (entry.facts.service != request.service || entry.facts.isLeaving || entry.isMisdirected
+        || this->withdrawn.contains(endpoint.domain)
+        || std::ranges::find(request.excluded, endpoint.name) != request.excluded.end()) {
+        return false;
+    }
+    return now >= entry.coldUntil || !entry.coldBucket || entry.coldBucket->hasToken(now);
+}
+
+bool EndpointBook::isRetrialDue(const Entry &entry, core::Instant now) const
+{
+    const double badness = entry.belief.badness(now);
+    const bool isRested = !entry.retriedAt || now - *entry.retriedAt >= this->model.retrialPause;
+    return badness > this->model.suspectAbove && badness < this->model.retrialBelow && isRested
+        && entry.running.empty();
+}
+
+double EndpointBook::costOf(Entry &entry, core::Instant now)
+{
+    this->forgetLostStarts(entry, now);
+    const double running = static_cast<double>(entry.running.size());
+    const double slots = std::max<double>(entry.facts.slots, 1);
+    const double waiting = std::max(running + 1 - slots, 0.0);
+    double cost = entry.belief.failureChance(now) + BusyCost * std::min(running / slots, 1.0)
+        + QueueCost * waiting / slots;
+    if (now < entry.fullUntil) {
+        cost += FullCost;
+    }
+    return cost;
+}
+
+void EndpointBook::forgetLostStarts(Entry &entry, core::Instant now) const
+{
+    while (!entry.running.empty() && now - entry.running.front().at > this->model.lostAfter) {
+        entry.running.pop_front();
+    }
+}
+
+EndpointBook::Entry *EndpointBook::findByTag(std::uint32_t tag)
+{
+    const auto name = this->namesByTag.find(tag);
+    if (name == this->namesByTag.end()) {
+        return nullptr;
+    }
+    return &this->entries.at(name->second);
+}
+
+} // namespace damaskgate::upstreams
--- /dev/null
+++ b/src/upstreams/fleetbalancer.cpp
@@ -0,0 +1,103 @@
+#include "damaskgate/upstreams/fleetbalancer.h"
+
+#include <chrono>
+#include <utility>
+
+#include "damaskgate/core/hash.h"
+
+namespace damaskgate::upstreams {
+
+namespace {
+
+constexpr std::chrono::milliseconds NoEndpointRetryAfter { 500 }; // a registration may come soon
+
+enum class NoteKind : std::uint8_t {
+    Started = 1, //!< the first attempt of a request
+    Repeated = 2, //!< a further attempt of a request
+    Ended = 3, //!< amount is the outcome
+};
+
+constexpr std::uint16_t LastOutcome = static_cast<std::uint16_t>(balance::Outcome::Cancelled);
+
+} // namespace
+
+FleetBalancer::FleetBalancer(const Dependencies &dependencies) : dependencies(dependencies)
+{
+    this->dependencies.notes.addListener([this](const fleet::Note &note) { this->onNote(note); });
+}
+
+std::uint64_t FleetBalancer::acquire(const balance::WorkRequest &request, Done done)
+{
+    const core::Instant now = this->dependencies.clock.now();
+    auto choice = this->dependencies.book.choose(request, now);
+    if (!choice) {
+        core::Error error { core::Reason::NoEndpoint, core::Verdict::NotRun,
+                            "no endpoint of the service may take it", NoEndpointRetryAfter };
+        done(tl::unexpected(std::move(error)));
+        return 0;
+    }
+    const std::uint32_t tag = core::tagOf(choice->grant.endpoint.name.text());
+    choice->grant.id = ++this->lastGrant;
+    this->held.emplace(choice->grant.id, tag);
+    this->dependencies.book.onStarted(tag, 0, now);
+    const bool isRepeated = !request.excluded.empty();
+    const std::uint32_t account =
+        isRepeated || request.workspace.isEmpty() ? 0 : core::tagOf(request.workspace.text());
+    const NoteKind kind = isRepeated ? NoteKind::Repeated : NoteKind::Started;
+    this->dependencies.notes.publish({ static_cast<std::uint8_t>(kind), 0, tag, account, 0 });
+    done(std::move(choice->grant));
+    return 0;
+}
+
+void FleetBalancer::cancel(std::uint64_t /*requestId*/) {}
+
+void FleetBalancer::release(std::uint64_t grantId, const balance::ExchangeReport &report)
+{
+    const auto found = this->held.find(grantId);
+    if (found == this->held.end()) {
+        return;
+    }
+    const std::uint32_t tag = found->second;
+    this->held.erase(found);
+    this->dependencies.book.onEnded(tag, 0, report.outcome, this->dependencies.clock.now());
+    this->dependencies.notes.publish({ static_cast<std::uint8_t>(NoteKind::Ended),
+                                       static_cast<std::uint16_t>(report.outcome), tag, 0, 0 });
+}
+
+void FleetBalancer::onNote(const fleet::Note &note)
+{
+    switch (static_cast<NoteKind>(note.kind)) {
+    case NoteKind::Started:
+        this->onRemoteStart(note, false);
+        return;
+    case NoteKind::Repeated:
+        this->onRemoteStart(note, true);
+        return;
+    case NoteKind::Ended:
+        if (note.amount <= LastOutcome) {
+            this->dependencies.book.onEnded(note.subject, note.origin,
+                                            static_cast<balance::Outcome>(note.amount),
+                                            this->dependencies.clock.now());
+        }
+        return;
+    }
+}
+
+void FleetBalancer::onRemoteStart(const fleet::Note &note, bool isRetry)
+{
+    this->dependencies.book.onStarted(note.subject, note.origin, this->dependencies.clock.now());
+    if (note.account != 0) {
+        this->dependencies.admission.takeRemote(note.account);
+    }
+    const auto service = this->dependencies.book.serviceOf(note.subject);
+    if (!service) {
+        return;
+    }
+    if (isRetry) {
+        this->dependencies.retries.takeRemote(*service);
+    } else {
+        this->dependencies.retries.onRequest(*service);
+    }
+}
+
+} // namespace damaskgate::upstreams
--- /dev/null
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "damaskgate/balance/balancetypes.h"
+#include "damaskgate/core/names.h"
+#include "damaskgate/limits/sharedbucket.h"
+#include "damaskgate/settings/settingstypes.h"
+#include "damaskgate/upstreams/endpointbelief.h"
+
+namespace damaskgate::upstreams {
+
+/** An endpoint as it is registered. */
+struct RegisteredEndpoint
+{
+    settings::Endpoint endpoint; //!< its name tells one start from another where the source does
+    core::ServiceName service;
+    std::uint32_t slots = 1;
+    bool isLeaving = false; //!< gets no new work
+    core::Duration coldFor {}; //!< how much longer it bears little work only; zero: warm
+    std::int64_t startedAtMillis = 0; //!< Unix time; rises when the endpoint starts again
+    std::int64_t sequence = 0; //!< of what the endpoint said since its start
+    std::uint64_t revision = 0; //!< of the source, of this registration
+};
+
+/** What of a service bounds the work of its endpoints. */
+struct ServiceBounds
+{
+    double coldRatePerSecond = 0; //!< requests to one cold endpoint, over all hosts; zero: no bound
+};
+
+/** How an endpoint is chosen. */
+struct ChoiceModel
+{
+    BeliefModel belief;
+    double suspectAbove = 0.12; //!< likelihood of a bad spell from which an endpoint is avoided
+    double retrialBelow = 0.55; //!< likelihood from which a suspect is tried again
+    core::Duration retrialPause = std::chrono::seconds(3); //!< between two trials of a suspect
+    double retrialShare = 0.2; //!< of the requests while a trial is due
+    core::Duration lostAfter = std::chrono::seconds(8); //!< a start without an end is forgotten
+    double coldRateUsed = 0.8; //!< share of what a cold endpoint bears
+    double coldBurst = 2; //!< requests
+};
+
+/** Why an endpoint was chosen, for the log. */
+struct Choice
+{
+    balance::SlotGrant grant;
+    double badness = 0;
+    std::size_t inFlight = 0; //!< over all hosts, as far as heard
+    bool isRetrial = false;
+};
+
+/**
+ * The endpoints of all services with what this host and the others saw of them, and the choice of
+ * one for a request. Pure: knows neither clock nor network.
+ */
+class EndpointBook
+{
+public:
+    EndpointBook(ChoiceModel model, std::uint64_t seed);
+
+    /** Takes the list of services with their bounds. */
+    void setServices(std::map<core::ServiceName, ServiceBounds> services);
+
+    /** Sets the failure domains whose endpoints get no work. */
+    void setWithdrawnDomains(std::set<core::DomainName> domains);
+
+    /**
+     * Takes the whole list of endpoints.
+     *
+     * @param isSettled whether the source has been reached without a gap for long enough; a
+     *        registration that is missing before that is kept until it is
+     */
+    void setEndpoints(std::span<const RegisteredEndpoint> endpoints, bool isSettled,
+                      core::Instant now);
+
+    /** @return an endpoint for @p request, or nothing when none may take it. */
+    std::optional<Choice> choose(const balance::WorkRequest &request, core::Instant now);
+
+    /** Notes that @p host, zero for this one, sends a request to the endpoint @p tag. */
+    void onStarted(std::uint32_t tag, std::uint32_t host, core::Instant now);
+
+    /** Notes how a request of @p host ended at the endpoint @p tag. */
+    void onEnded(std::uint32_t tag, std::uint32_t host, balance::Outcome outcome,
+                 core::Instant now);
+
+    /** @return whether the list of endpoints was given at least once. */
+    bool isFilled() const;
+
+    /** @return the likelihood of a bad spell of the endpoint, for metrics and logs. */
+    std::optional<double> badnessOf(const core::EndpointName &name, core::Instant now) const;
+
+    /** @return the service of the endpoint @p tag, or nothing when it is not known. */
+    std::optional<core::ServiceName> serviceOf(std::uint32_t tag) const;
+
+private:
+    struct Start
+    {
+        std::uint32_t host = 0;
+        core::Instant at;
+    };
+
+    struct Entry
+    {
+        RegisteredEndpoint facts;
+        EndpointBelief belief;
+        std::deque<Start> running; //!< requests over all hosts, oldest first
+        std::optional<limits::SharedBucket> coldBucket;
+        core::Instant coldUntil;
+        core::Instant fullUntil; //!< it has refused work lately
+        std::optional<core::Instant> retriedAt;
+        bool isMisdirected = false; //!< another endpoint has its address
+    };
+
+    void put(const RegisteredEndpoint &facts, core::Instant now);
+    bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
+    bool isRetrialDue(const Entry &entry, core::Instant now) const;
+    double costOf(Entry &entry, core::Instant now);
+    void forgetLostStarts(Entry &entry, core::Instant now) const;
+    Entry *findByTag(std::uint32_t tag);
+
+    ChoiceModel model;
+    std::mt19937_64 random;
+    std::map<core::ServiceName, ServiceBounds> services;
+    std::set<core::DomainName> withdrawn;
+    std::map<core::EndpointName, Entry> entries;
+    std::map<std::uint32_t, core::EndpointName> namesByTag;
+    bool wasFilled = false;
+};
+
+} // namespace damaskgate::upstreams
--- /dev/null
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "damaskgate/balance/ibalancer.h"
+#include "damaskgate/core/event.h"
+#include "damaskgate/core/time.h"
+#include "damaskgate/fleet/inoteboard.h"
+#include "damaskgate/limits/sharedadmission.h"
+#include "damaskgate/upstreams/endpointbook.h"
+#include "damaskgate/upstreams/fleetretrybudget.h"
+
+namespace damaskgate::upstreams {
+
+/**
+ * Chooses an endpoint for each request at once, by what all hosts saw of the endpoints: tells the
+ * others of each start and end, and takes in theirs. Used on one thread.
+ */
+class FleetBalancer final : public balance::IBalancer
+{
+public:
+    struct Dependencies
+    {
+        const core::IClock &clock;
+        core::IEventSink &events;
+        fleet::INoteBoard &notes;
+        EndpointBook &book;
+        limits::SharedAdmission &admission;
+        FleetRetryBudget &retries;
+    };
+
+    explicit FleetBalancer(const Dependencies &dependencies);
+
+    std::uint64_t acquire(const balance::WorkRequest &request, Done done) override;
+    void cancel(std::uint64_t requestId) override;
+    void release(std::uint64_t grantId, const balance::ExchangeReport &report) override;
+
+private:
+    void onNote(const fleet::Note &note);
+    void onRemoteStart(const fleet::Note &note, bool isRetry);
+
+    Dependencies dependencies;
+    std::map<std::uint64_t, std::uint32_t> held; //!< endpoint of each grant
+    std::uint64_t lastGrant = 0;
+};
+
+} // namespace damaskgate::upstreams
