--- a/src/settings/include/damaskgate/settings/settingstypes.h
+++ b/src/settings/include/damaskgate/settings/settingstypes.h
@@ -49,8 +49,8 @@
     double ratePerSecond = 0;
     double burst = 0; //!< requests
     std::uint32_t weight = 1; //!< share of the queues in front of a busy service
-    std::optional<std::uint32_t> priority; //!< takes precedence over that of the route
     std::vector<core::Sha256> keyHashes; //!< keys in force
+    std::optional<std::uint32_t> priority {}; //!< takes precedence over that of the route
 };
 
 /** A service that gets a share of a route's requests. */
