upstreams: endpoints of the host's own failure domain go first

Ruled out: choosing near endpoints only; it would give up sound far ones. Change: crossing costs 0.06 failed requests in the choice.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,13 +143,13 @@
       fleet({ this->context, this->clock, this->events, this->network },
             fleet::FleetTable(this->peerName, this->options.domain, {}, this->incarnation),
             toNames(this->options.seeds)),
-      mirrorService({ this->context, this->clock, this->events, this->fleet,
-                      this->publication->source() },
-                    this->options.ports.peers),
+      mirrorService(
+          { this->context, this->clock, this->events, this->fleet, this->publication->source() },
+          this->options.ports.peers),
       admission(this->clock), retries(this->clock, this->options.retries),
-      book(this->options.choice, this->incarnation),
-      balancer({ this->clock, this->events, this->fleet, this->book, this->admission,
-                 this->retries }),
+      book(this->options.choice, this->options.domain, this->incarnation),
+      balancer(
+          { this->clock, this->events, this->fleet, this->book, this->admission, this->retries }),
       state(this->live, this->book), recorder(this->registry, this->events),
       server(this->context,
              entry::EntryDependencies { this->clock, this->live, this->admission, this->balancer,
@@ -222,8 +222,8 @@
                                this->lookupServer.listen(address, ports.lookup),
                                this->readinessServer.listen(address, ports.readiness),
                                this->peerServer.listen(address, ports.peers) };
-    const auto failed = std::ranges::find_if(
-        results, [](const auto &result) { return !result.has_value(); });
+    const auto failed =
+        std::ranges::find_if(results, [](const auto &result) { return !result.has_value(); });
     return failed == results.end() ? core::Result<void> {} : tl::unexpected(failed->error());
 }
 
@@ -323,8 +323,8 @@
 {
     std::vector<entry::LookupEntry> serving;
     if (this->state.isReady()) {
-        serving.push_back({ this->options.name, this->options.address,
-                            this->options.ports.callers, this->options.domain });
+        serving.push_back({ this->options.name, this->options.address, this->options.ports.callers,
+                            this->options.domain });
     }
     for (const fleet::Member *member : this->fleet.table().liveMembers(this->clock.now())) {
         if (member->state.isServing && !member->state.isLeaving) {
@@ -394,7 +394,8 @@
     this->stopTimer.expires_after(LeaveTime);
     this->stopTimer.async_wait([this, latest](const boost::system::error_code &error) {
         if (!error) {
-            this->events.record({ "drain-started", { { "exchanges", this->server.exchangeCount() } } });
+            this->events.record(
+                { "drain-started", { { "exchanges", this->server.exchangeCount() } } });
             this->server.drain([] {});
             this->finishWhenIdle(latest);
         }
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -25,7 +25,9 @@
 
 } // namespace
 
-EndpointBook::EndpointBook(ChoiceModel model, std::uint64_t seed) : model(model), random(seed) {}
+EndpointBook::EndpointBook(ChoiceModel model, core::DomainName domain, std::uint64_t seed)
+    : model(model), domain(std::move(domain)), random(seed)
+{}
 
 void EndpointBook::setServices(std::map<core::ServiceName, ServiceBounds> services)
 {
@@ -72,7 +74,8 @@
     }
     if (!isSameStart) {
         const EndpointBelief fresh(this->model.belief, now);
-        this->entries.insert_or_assign(facts.endpoint.name, Entry { facts, fresh, {}, {}, {}, {}, {} });
+        this->entries.insert_or_assign(facts.endpoint.name,
+                                       Entry { facts, fresh, {}, {}, {}, {}, {} });
     }
     Entry &entry = this->entries.at(facts.endpoint.name);
     entry.facts = facts;
@@ -218,6 +221,9 @@
     if (now < entry.fullUntil) {
         cost += FullCost;
     }
+    if (entry.facts.endpoint.domain != this->domain) {
+        cost += this->model.farCost;
+    }
     return cost;
 }
 
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -47,6 +47,7 @@
     core::Duration lostAfter = std::chrono::seconds(8); //!< a start without an end is forgotten
     double coldRateUsed = 0.8; //!< share of what a cold endpoint bears
     double coldBurst = 2; //!< requests
+    double farCost = 0.06; //!< of crossing failure domains, in failed requests
 };
 
 /** Why an endpoint was chosen, for the log. */
@@ -65,7 +66,8 @@
 class EndpointBook
 {
 public:
-    EndpointBook(ChoiceModel model, std::uint64_t seed);
+    /** @param domain failure domain of this host */
+    EndpointBook(ChoiceModel model, core::DomainName domain, std::uint64_t seed);
 
     /** Takes the list of services with their bounds. */
     void setServices(std::map<core::ServiceName, ServiceBounds> services);
@@ -128,6 +130,7 @@
     Entry *findByTag(std::uint32_t tag);
 
     ChoiceModel model;
+    core::DomainName domain;
     std::mt19937_64 random;
     std::map<core::ServiceName, ServiceBounds> services;
     std::set<core::DomainName> withdrawn;
