fleet: vouches across failure domains, notes through a hub; packed datagrams

Cause: each host beat every other one (44 x 43), and each note went to every host of the sender's domain on its own. Ruled out: beating far hosts more rarely; the look-up may name no dead host. Change: hosts tell one far host in each domain, by turns, whom they heard in their own. Notes go to a hub, the first host by name that answers; it sends them on in batches; a silent hub is replaced after 0.5 s. Envelopes are packed, with a MAC of 16 bytes.

--- a/src/fleet/fleet.capnp
+++ b/src/fleet/fleet.capnp
@@ -11,14 +11,22 @@
   origin @4 :UInt32;
 }
 
+struct Vouch {
+  address @0 :UInt32;
+  ageMilliseconds @1 :UInt16;
+  isLeaving @2 :Bool;
+  isServing @3 :Bool;
+}
+
 struct Beat {
   domain @0 :Text;
   isLeaving @1 :Bool;
   isServing @2 :Bool;
   isAsking @3 :Bool;
-  isForRelay @4 :Bool;
+  spread @4 :UInt8;
   dataRevision @5 :UInt64;
   sourceAgeMilliseconds @6 :UInt16;
   known @7 :List(Text);
   notes @8 :List(Note);
+  vouches @9 :List(Vouch);
 }
--- a/src/fleet/fleet.capnp.h
+++ b/src/fleet/fleet.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(982dc483a0b872a9);
+CAPNP_DECLARE_SCHEMA(f9f568b1d241229b);
 CAPNP_DECLARE_SCHEMA(9c5d08562f62c410);
 
 }  // namespace schemas
@@ -41,6 +42,21 @@
   };
 };
 
+struct Vouch {
+  Vouch() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f9f568b1d241229b, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Beat {
   Beat() = delete;
 
@@ -49,7 +65,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c5d08562f62c410, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9c5d08562f62c410, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -154,6 +170,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Vouch::Reader {
+public:
+  typedef Vouch Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAddress() const;
+
+  inline  ::uint16_t getAgeMilliseconds() const;
+
+  inline bool getIsLeaving() const;
+
+  inline bool getIsServing() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Vouch::Builder {
+public:
+  typedef Vouch Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAddress();
+  inline void setAddress( ::uint32_t value);
+
+  inline  ::uint16_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint16_t value);
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline bool getIsServing();
+  inline void setIsServing(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Vouch::Pipeline {
+public:
+  typedef Vouch Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Beat::Reader {
 public:
   typedef Beat Reads;
@@ -180,7 +287,7 @@
 
   inline bool getIsAsking() const;
 
-  inline bool getIsForRelay() const;
+  inline  ::uint8_t getSpread() const;
 
   inline  ::uint64_t getDataRevision() const;
 
@@ -192,6 +299,9 @@
   inline bool hasNotes() const;
   inline  ::capnp::List< ::damaskgate::fleet::wire::Note,  ::capnp::Kind::STRUCT>::Reader getNotes() const;
 
+  inline bool hasVouches() const;
+  inline  ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Reader getVouches() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -236,8 +346,8 @@
   inline bool getIsAsking();
   inline void setIsAsking(bool value);
 
-  inline bool getIsForRelay();
-  inline void setIsForRelay(bool value);
+  inline  ::uint8_t getSpread();
+  inline void setSpread( ::uint8_t value);
 
   inline  ::uint64_t getDataRevision();
   inline void setDataRevision( ::uint64_t value);
@@ -260,6 +370,13 @@
   inline void adoptNotes(::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Note,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Note,  ::capnp::Kind::STRUCT>> disownNotes();
 
+  inline bool hasVouches();
+  inline  ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Builder getVouches();
+  inline void setVouches( ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Builder initVouches(unsigned int size);
+  inline void adoptVouches(::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>> disownVouches();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -358,6 +475,62 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Vouch::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Vouch::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Vouch::Builder::setAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Vouch::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Vouch::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Vouch::Builder::setAgeMilliseconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Vouch::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+
+inline bool Vouch::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+inline void Vouch::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Vouch::Reader::getIsServing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
+}
+
+inline bool Vouch::Builder::getIsServing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
+}
+inline void Vouch::Builder::setIsServing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -434,18 +607,18 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::getIsForRelay() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Beat::Reader::getSpread() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Beat::Builder::getIsForRelay() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Beat::Builder::getSpread() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setIsForRelay(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setSpread( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Beat::Reader::getDataRevision() const {
@@ -548,6 +721,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Beat::Reader::hasVouches() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasVouches() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getVouches() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getVouches() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setVouches( ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initVouches(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptVouches(
+    ::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>> Beat::Builder::disownVouches() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/asio/ip/address_v4.hpp>
+
 #include "damaskgate/peer/packedmessage.h"
 
 #include "fleet.capnp.h"
@@ -27,6 +29,19 @@
                   reader.getOrigin() };
 }
 
+// Hosts are named by their IP numbers.
+std::uint32_t toAddress(const core::HostName &name)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address_v4(name.text(), error);
+    return error ? 0 : address.to_uint();
+}
+
+core::HostName toName(std::uint32_t address)
+{
+    return core::HostName(boost::asio::ip::address_v4(address).to_string());
+}
+
 std::uint16_t toWireAge(const std::optional<std::chrono::milliseconds> &age)
 {
     if (!age) {
@@ -46,7 +61,7 @@
     root.setIsLeaving(beat.state.isLeaving);
     root.setIsServing(beat.state.isServing);
     root.setIsAsking(beat.isAsking);
-    root.setIsForRelay(beat.isForRelay);
+    root.setSpread(static_cast<std::uint8_t>(beat.spread));
     root.setDataRevision(beat.state.dataRevision);
     root.setSourceAgeMilliseconds(toWireAge(beat.state.sourceAge));
     auto known = root.initKnown(static_cast<unsigned>(beat.known.size()));
@@ -57,6 +72,14 @@
     for (unsigned index = 0; index < notes.size(); ++index) {
         write(notes[index], beat.notes[index]);
     }
+    auto vouches = root.initVouches(static_cast<unsigned>(beat.vouches.size()));
+    for (unsigned index = 0; index < vouches.size(); ++index) {
+        const Vouch &vouch = beat.vouches[index];
+        vouches[index].setAddress(toAddress(vouch.name));
+        vouches[index].setAgeMilliseconds(toWireAge(vouch.age));
+        vouches[index].setIsLeaving(vouch.isLeaving);
+        vouches[index].setIsServing(vouch.isServing);
+    }
     return peer::packMessage(message);
 }
 
@@ -68,7 +91,9 @@
         beat.state.isLeaving = root.getIsLeaving();
         beat.state.isServing = root.getIsServing();
         beat.isAsking = root.getIsAsking();
-        beat.isForRelay = root.getIsForRelay();
+        beat.spread = root.getSpread() > static_cast<std::uint8_t>(Spread::Domain)
+            ? Spread::Done
+            : static_cast<Spread>(root.getSpread());
         beat.state.dataRevision = root.getDataRevision();
         if (root.getSourceAgeMilliseconds() != NoSourceAge) {
             beat.state.sourceAge = std::chrono::milliseconds(root.getSourceAgeMilliseconds());
@@ -79,6 +104,11 @@
         for (const auto note : root.getNotes()) {
             beat.notes.push_back(read(note));
         }
+        for (const auto vouch : root.getVouches()) {
+            beat.vouches.push_back({ toName(vouch.getAddress()),
+                                     std::chrono::milliseconds(vouch.getAgeMilliseconds()),
+                                     vouch.getIsLeaving(), vouch.getIsServing() });
+        }
         return beat;
     };
     return peer::unpackMessage<wire::Beat, Beat>(payload, readBeat);
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t NamesPerBeat = 2; // of other hosts, so that partial views grow together
 constexpr int SeedAskTicks = 8; // seeds are asked at every tick at first,
 constexpr int SeedAskPeriod = 20; // later once in so many ticks
+constexpr int VouchPeriod = 4; // ticks
+constexpr std::size_t MaxVouchesPerBeat = 90; // fits a datagram
 
 } // namespace
 
@@ -26,12 +28,12 @@
                            std::vector<core::HostName> seeds)
     : clock(dependencies.clock), events(dependencies.events), network(dependencies.network),
       fleet(std::move(table)), seeds(std::move(seeds)),
-      selfTag(core::tagOf(this->fleet.self().text())),
-      tickTimer(dependencies.context), flushTimer(dependencies.context)
+      selfTag(core::tagOf(this->fleet.self().text())), tickTimer(dependencies.context),
+      flushTimer(dependencies.context)
 {
-    this->network.setHandler(
-        peer::MessageKind::Fleet,
-        [this](const peer::Datagram &datagram) { this->onDatagram(datagram); });
+    this->network.setHandler(peer::MessageKind::Fleet, [this](const peer::Datagram &datagram) {
+        this->onDatagram(datagram);
+    });
 }
 
 void FleetService::setStateSource(StateSource source)
@@ -105,6 +107,7 @@
     const core::Instant now = this->clock.now();
     std::vector<core::HostName> told = beat.known;
     told.push_back(datagram.from);
+    std::ranges::transform(beat.vouches, std::back_inserter(told), &Vouch::name);
     const bool isAnyNew = this->fleet.onTold(told, now);
     if (this->fleet.onHeard(datagram.from, datagram.incarnation, beat.state, now)) {
         this->events.record({ "host-heard",
@@ -115,6 +118,9 @@
                                 { "leaving", beat.state.isLeaving } } });
         this->notifyChanged();
     }
+    if (this->fleet.onVouched(beat.state.domain, beat.vouches, now)) {
+        this->notifyChanged();
+    }
     if (isAnyNew) {
         this->notifyKnown();
     }
@@ -129,17 +135,17 @@
 void FleetService::takeNotes(const Beat &beat)
 {
     for (const Note &note : beat.notes) {
-        if (note.origin == this->selfTag) {
-            continue;
-        }
-        std::ranges::for_each(this->noteListeners, [&note](const auto &listen) { listen(note); });
-        if (beat.isForRelay) {
-            this->relayedNotes.push_back(note);
+        if (note.origin != this->selfTag) {
+            std::ranges::for_each(this->noteListeners,
+                                  [&note](const auto &listen) { listen(note); });
         }
     }
-    if (!this->relayedNotes.empty()) {
-        this->scheduleFlush();
+    if (beat.notes.empty() || beat.spread == Spread::Done) {
+        return;
     }
+    auto &queue = beat.spread == Spread::Domain ? this->hubNotes : this->neighbourNotes;
+    queue.insert(queue.end(), beat.notes.begin(), beat.notes.end());
+    this->scheduleFlush();
 }
 
 void FleetService::tellKnown(const core::HostName &to)
@@ -163,23 +169,29 @@
 {
     this->isFlushScheduled = false;
     const core::Instant now = this->clock.now();
-    const auto relays = this->fleet.relays(now);
-    const auto neighbours = this->fleet.neighbours(now);
-    this->sendNotes(this->ownNotes, relays, true);
-    std::vector<Note> near = std::exchange(this->ownNotes, {});
-    std::ranges::move(std::exchange(this->relayedNotes, {}), std::back_inserter(near));
-    this->sendNotes(std::move(near), neighbours, false);
+    this->sendNotes(this->ownNotes, this->fleet.relays(now), Spread::Domain);
+    std::ranges::move(std::exchange(this->ownNotes, {}), std::back_inserter(this->hubNotes));
+    const core::HostName hub = this->fleet.hub(now);
+    if (hub == this->fleet.self()) {
+        std::ranges::move(std::exchange(this->hubNotes, {}),
+                          std::back_inserter(this->neighbourNotes));
+    }
+    if (!this->hubNotes.empty()) {
+        this->sendNotes(std::exchange(this->hubNotes, {}), { &hub, 1 }, Spread::Neighbours);
+        this->fleet.onSentToHub(hub, now);
+    }
+    this->sendNotes(std::exchange(this->neighbourNotes, {}), this->fleet.neighbours(now),
+                    Spread::Done);
 }
 
-void FleetService::sendNotes(std::vector<Note> notes, std::span<const core::HostName> hosts,
-                             bool isForRelay)
+void FleetService::sendNotes(std::span<const Note> notes, std::span<const core::HostName> hosts,
+                             Spread spread)
 {
     for (std::size_t sent = 0; sent < notes.size(); sent += MaxNotesPerBeat) {
         Beat beat = this->makeBeat();
-        beat.isForRelay = isForRelay;
-        const auto end = std::min(sent + MaxNotesPerBeat, notes.size());
-        beat.notes.assign(notes.begin() + static_cast<std::ptrdiff_t>(sent),
-                          notes.begin() + static_cast<std::ptrdiff_t>(end));
+        beat.spread = spread;
+        const auto part = notes.subspan(sent, std::min(MaxNotesPerBeat, notes.size() - sent));
+        beat.notes.assign(part.begin(), part.end());
         this->sendTo(hosts, beat);
     }
 }
@@ -216,6 +228,7 @@
     Beat beat = this->makeBeat();
     beat.known = this->fleet.sample(NamesPerBeat, now);
     this->sendTo(this->fleet.dueHosts(now), beat);
+    this->vouchFar(now);
     const std::size_t live = this->fleet.liveMembers(now).size();
     if (live != this->liveCount) {
         this->events.record({ "fleet-size", { { "live", live }, { "before", this->liveCount } } });
@@ -226,6 +239,19 @@
     this->scheduleTick();
 }
 
+// Sends across failure domains what this host heard within its own.
+void FleetService::vouchFar(core::Instant now)
+{
+    if (this->ticks % VouchPeriod != 0) {
+        return;
+    }
+    Beat beat = this->makeBeat();
+    beat.vouches = this->fleet.vouches(now);
+    std::ranges::shuffle(beat.vouches, this->random);
+    beat.vouches.resize(std::min(beat.vouches.size(), MaxVouchesPerBeat));
+    this->sendTo(this->fleet.vouchTargets(this->ticks / VouchPeriod, now), beat);
+}
+
 void FleetService::askSeeds()
 {
     if (this->ticks >= SeedAskTicks && this->ticks % SeedAskPeriod != 0) {
--- a/src/fleet/fleettable.cpp
+++ b/src/fleet/fleettable.cpp
@@ -21,15 +21,79 @@
     if (entry.isHeard && incarnation < entry.member.incarnation) {
         return false;
     }
-    const bool isChanged = !this->isEntryLive(entry, now)
-        || entry.member.incarnation != incarnation
+    const bool isChanged = !this->isEntryLive(entry, now) || entry.member.incarnation != incarnation
         || entry.member.state.isLeaving != state.isLeaving
         || entry.member.state.isServing != state.isServing;
     entry.isHeard = true;
+    entry.hubAskedAt.reset();
     entry.member = Member { from, incarnation, state, now };
     return isChanged;
 }
 
+bool FleetTable::onVouched(const core::DomainName &domain, std::span<const Vouch> vouches,
+                           core::Instant now)
+{
+    bool isChanged = false;
+    for (const Vouch &vouch : vouches) {
+        if (vouch.name == this->selfName) {
+            continue;
+        }
+        Entry &entry = this->entries[vouch.name];
+        const core::Instant heardAt = now - vouch.age;
+        if (entry.isHeard && heardAt <= entry.member.heardAt) {
+            continue;
+        }
+        HostState &state = entry.member.state;
+        isChanged = isChanged || !this->isEntryLive(entry, now)
+            || state.isLeaving != vouch.isLeaving || state.isServing != vouch.isServing;
+        entry.isHeard = true;
+        entry.member.name = vouch.name;
+        entry.member.heardAt = heardAt;
+        state.domain = domain;
+        state.isLeaving = vouch.isLeaving;
+        state.isServing = vouch.isServing;
+    }
+    return isChanged;
+}
+
+std::vector<Vouch> FleetTable::vouches(core::Instant now) const
+{
+    std::vector<Vouch> vouches;
+    for (const Member *member : this->liveMembers(now)) {
+        if (member->state.domain == this->domain) {
+            const auto age =
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - member->heardAt);
+            vouches.push_back(
+                { member->name, age, member->state.isLeaving, member->state.isServing });
+        }
+    }
+    return vouches;
+}
+
+std::vector<core::HostName> FleetTable::vouchTargets(std::uint64_t round, core::Instant now) const
+{
+    const auto near = this->neighbours(now);
+    const auto rank = static_cast<std::uint64_t>(
+        std::ranges::count_if(near, [this](const auto &name) { return name < this->selfName; }));
+    std::vector<core::HostName> targets;
+    for (const auto &[domain, hosts] : this->farHosts(now)) {
+        targets.push_back(hosts[(rank + round) % hosts.size()]);
+    }
+    return targets;
+}
+
+std::map<core::DomainName, std::vector<core::HostName>>
+FleetTable::farHosts(core::Instant now) const
+{
+    std::map<core::DomainName, std::vector<core::HostName>> byDomain;
+    for (const Member *member : this->liveMembers(now)) {
+        if (member->state.domain != this->domain) {
+            byDomain[member->state.domain].push_back(member->name);
+        }
+    }
+    return byDomain;
+}
+
 bool FleetTable::onTold(std::span<const core::HostName> names, core::Instant now)
 {
     bool isAnyNew = false;
@@ -59,9 +123,11 @@
     std::vector<core::HostName> due;
     for (const auto &[name, entry] : this->entries) {
         const bool isNear = entry.member.state.domain == this->domain;
-        const core::Duration interval = !this->isEntryLive(entry, now) ? this->pace.probeLost
-            : isNear                                                   ? this->pace.beatNear
-                                                                       : this->pace.beatFar;
+        const bool isLive = this->isEntryLive(entry, now);
+        if (isLive && !isNear) {
+            continue;
+        }
+        const core::Duration interval = isLive ? this->pace.beatNear : this->pace.probeLost;
         if (!entry.sentAt || now - *entry.sentAt >= interval) {
             due.push_back(name);
         }
@@ -115,20 +181,43 @@
 
 std::vector<core::HostName> FleetTable::relays(core::Instant now)
 {
-    std::map<core::DomainName, std::vector<core::HostName>> byDomain;
-    for (const Member *member : this->liveMembers(now)) {
-        if (member->state.domain != this->domain) {
-            byDomain[member->state.domain].push_back(member->name);
-        }
-    }
     std::vector<core::HostName> relays;
-    for (const auto &[domain, hosts] : byDomain) {
+    for (const auto &[domain, hosts] : this->farHosts(now)) {
         std::uniform_int_distribution<std::size_t> pick(0, hosts.size() - 1);
         relays.push_back(hosts[pick(this->random)]);
     }
     return relays;
 }
 
+core::HostName FleetTable::hub(core::Instant now)
+{
+    for (auto &[name, entry] : this->entries) {
+        if (name > this->selfName) {
+            break;
+        }
+        if (!this->isEntryLive(entry, now) || entry.member.state.domain != this->domain
+            || entry.member.state.isLeaving) {
+            continue;
+        }
+        if (entry.hubAskedAt && now - *entry.hubAskedAt > this->pace.hubAnswer) {
+            entry.hubAskedAt.reset();
+            entry.hubReplacedAt = now;
+        }
+        if (!entry.hubReplacedAt || now - *entry.hubReplacedAt > this->pace.hubRest) {
+            return name;
+        }
+    }
+    return this->selfName;
+}
+
+void FleetTable::onSentToHub(const core::HostName &name, core::Instant now)
+{
+    const auto found = this->entries.find(name);
+    if (found != this->entries.end() && !found->second.hubAskedAt) {
+        found->second.hubAskedAt = now;
+    }
+}
+
 std::vector<core::HostName> FleetTable::neighbours(core::Instant now) const
 {
     std::vector<core::HostName> near;
--- a/src/fleet/include/damaskgate/fleet/fleetservice.h
+++ b/src/fleet/include/damaskgate/fleet/fleetservice.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <random>
 #include <span>
 #include <string>
 #include <vector>
@@ -65,10 +66,12 @@
     void tellKnown(const core::HostName &to);
     void sendTo(std::span<const core::HostName> hosts, const Beat &beat);
     void flushNotes();
-    void sendNotes(std::vector<Note> notes, std::span<const core::HostName> hosts, bool isForRelay);
+    void sendNotes(std::span<const Note> notes, std::span<const core::HostName> hosts,
+                   Spread spread);
     void scheduleTick();
     void scheduleFlush();
     void tick();
+    void vouchFar(core::Instant now);
     void askSeeds();
     Beat makeBeat() const;
     void notifyKnown();
@@ -87,8 +90,10 @@
     std::vector<Listener> noteListeners;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer flushTimer;
-    std::vector<Note> ownNotes; //!< waiting to be sent to all hosts
-    std::vector<Note> relayedNotes; //!< waiting to be sent within the failure domain
+    std::vector<Note> ownNotes; //!< for all hosts
+    std::vector<Note> hubNotes; //!< for the hub of this failure domain
+    std::vector<Note> neighbourNotes; //!< for all hosts of this failure domain
+    std::mt19937_64 random { std::random_device {}() };
     std::size_t liveCount = 0;
     int ticks = 0;
     bool isFlushScheduled = false;
--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -16,9 +16,10 @@
 struct FleetPace
 {
     core::Duration beatNear = std::chrono::milliseconds(1000); //!< within a failure domain
-    core::Duration beatFar = std::chrono::milliseconds(1500); //!< across failure domains
     core::Duration lostAfter = std::chrono::milliseconds(4000); //!< of silence
     core::Duration probeLost = std::chrono::milliseconds(2000); //!< between tries of lost hosts
+    core::Duration hubAnswer = std::chrono::milliseconds(500); //!< until a silent hub is replaced
+    core::Duration hubRest = std::chrono::seconds(2); //!< before a replaced hub is taken again
     core::Duration forgetAfter = std::chrono::seconds(120); //!< of silence
 };
 
@@ -35,13 +36,31 @@
     bool onHeard(const core::HostName &from, std::uint64_t incarnation, const HostState &state,
                  core::Instant now);
 
+    /**
+     * Takes in hosts of @p domain that one of them heard from. Hosts tell each other of their own
+     * failure domain, so that the messages across domains grow with the number of hosts only.
+     *
+     * @return whether the set of live hosts may have changed
+     */
+    bool onVouched(const core::DomainName &domain, std::span<const Vouch> vouches,
+                   core::Instant now);
+
+    /** @return the live hosts of this failure domain that this host heard from itself. */
+    std::vector<Vouch> vouches(core::Instant now) const;
+
+    /**
+     * @return for each other failure domain the host that gets the vouches of this one in @p round;
+     *         each host gets those of one host in a round
+     */
+    std::vector<core::HostName> vouchTargets(std::uint64_t round, core::Instant now) const;
+
     /** Learns names that another host or the settings tell. @return whether any was new */
     bool onTold(std::span<const core::HostName> names, core::Instant now);
 
     /** Notes that a message goes to @p to now. */
     void onSent(const core::HostName &to, core::Instant now);
 
-    /** @return hosts that are due for a message, live or not. */
+    /** @return near hosts that are due for a message, and lost ones that are tried again. */
     std::vector<core::HostName> dueHosts(core::Instant now) const;
 
     /** Drops hosts that have been silent for long. @return whether any live host was lost */
@@ -62,6 +81,15 @@
     /** @return for each other failure domain one live host at random, to hand notes on. */
     std::vector<core::HostName> relays(core::Instant now);
 
+    /**
+     * @return the host that spreads notes within this failure domain: the first by name that
+     *         answers, which may be this one
+     */
+    core::HostName hub(core::Instant now);
+
+    /** Notes that notes go to the hub @p name now; it answers by spreading them. */
+    void onSentToHub(const core::HostName &name, core::Instant now);
+
     /** @return the live hosts of this failure domain. */
     std::vector<core::HostName> neighbours(core::Instant now) const;
 
@@ -79,9 +107,12 @@
         Member member;
         bool isHeard = false; //!< ever
         std::optional<core::Instant> sentAt;
+        std::optional<core::Instant> hubAskedAt; //!< notes were sent to it and nothing came back
+        std::optional<core::Instant> hubReplacedAt;
     };
 
     bool isEntryLive(const Entry &entry, core::Instant now) const;
+    std::map<core::DomainName, std::vector<core::HostName>> farHosts(core::Instant now) const;
 
     core::HostName selfName;
     core::DomainName domain;
--- a/src/fleet/include/damaskgate/fleet/fleettypes.h
+++ b/src/fleet/include/damaskgate/fleet/fleettypes.h
@@ -33,14 +33,33 @@
     std::optional<std::chrono::milliseconds> sourceAge; //!< since it last reached the source itself
 };
 
+/** A host that the sender of a message heard from itself. */
+struct Vouch
+{
+    core::HostName name;
+    std::chrono::milliseconds age { 0 }; //!< since it was heard
+    bool isLeaving = false;
+    bool isServing = false;
+
+    bool operator==(const Vouch &) const = default;
+};
+
+/** How far the notes of a message still have to go. */
+enum class Spread : std::uint8_t {
+    Done = 0, //!< the receiver keeps them
+    Neighbours = 1, //!< the receiver sends them to all hosts of its failure domain
+    Domain = 2, //!< the receiver hands them to the hub of its failure domain
+};
+
 /** One message between hosts. */
 struct Beat
 {
     HostState state;
     bool isAsking = false; //!< the receiver answers with the hosts it knows
-    bool isForRelay = false; //!< the receiver hands the notes on within its failure domain
+    Spread spread = Spread::Done; //!< of the notes
     std::vector<core::HostName> known; //!< some hosts that the sender heard from
     std::vector<Note> notes;
+    std::vector<Vouch> vouches; //!< hosts of the sender's failure domain
 };
 
 /** A host as this one sees it. Hosts are named by their IP numbers. */
--- a/src/peer/envelope.cpp
+++ b/src/peer/envelope.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 
 #include "damaskgate/core/hash.h"
 
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr std::uint16_t WireVersion = 1;
-constexpr std::size_t MacBytes = sizeof(core::Sha256);
+constexpr std::uint16_t WireVersion = 2;
+constexpr std::size_t MacBytes = 16; // HMAC-SHA-256-128, RFC 4868
 constexpr std::uint64_t MaxWordsRead = 512;
 
 std::string_view asText(std::span<const std::byte> bytes)
@@ -29,17 +29,15 @@
 {
     const core::Sha256 expected = core::hmacSha256(secret, asText(datagram.subspan(MacBytes)));
     const std::span mac(reinterpret_cast<const std::uint8_t *>(datagram.data()), MacBytes);
-    return core::equalInConstantTime(mac, expected);
+    return core::equalInConstantTime(mac, std::span(expected).first(MacBytes));
 }
 
 core::Result<Envelope> readBody(std::span<const std::byte> body, const core::HostName &self)
 {
-    //! NOTE Cap'n Proto reads aligned words only, the datagram buffer may not be aligned.
-    auto words = kj::heapArray<capnp::word>(body.size() / sizeof(capnp::word));
-    std::ranges::copy(body, std::as_writable_bytes(std::span(words.begin(), words.size())).begin());
+    kj::ArrayInputStream stream({ reinterpret_cast<const kj::byte *>(body.data()), body.size() });
     capnp::ReaderOptions options;
     options.traversalLimitInWords = MaxWordsRead;
-    capnp::FlatArrayMessageReader message(words, options);
+    capnp::PackedMessageReader message(stream, options);
     const auto reader = message.getRoot<wire::Envelope>();
     if (reader.getVersion() != WireVersion) {
         return core::notRun(core::Reason::BadRequest, "datagram of another version");
@@ -77,10 +75,12 @@
     builder.setTo(envelope.to.text().c_str());
     builder.setPayload(
         { reinterpret_cast<const kj::byte *>(envelope.payload.data()), envelope.payload.size() });
-    const auto words = capnp::messageToFlatArray(message);
-    const auto body = std::as_bytes(std::span(words.begin(), words.size()));
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, message);
+    const auto packed = stream.getArray();
+    const auto body = std::as_bytes(std::span(packed.begin(), packed.size()));
     const core::Sha256 mac = core::hmacSha256(secret, asText(body));
-    const auto macBytes = std::as_bytes(std::span(mac));
+    const auto macBytes = std::as_bytes(std::span(mac)).first(MacBytes);
     std::vector<std::byte> datagram(macBytes.size() + body.size());
     const auto bodyStart = std::ranges::copy(macBytes, datagram.begin()).out;
     std::ranges::copy(body, bodyStart);
@@ -90,8 +90,7 @@
 core::Result<Envelope> openEnvelope(std::span<const std::byte> datagram, std::string_view secret,
                                     const core::HostName &self)
 {
-    const bool hasSize = datagram.size() > MacBytes && datagram.size() <= MaxDatagramBytes;
-    if (!hasSize || datagram.size() % sizeof(capnp::word) != 0) {
+    if (datagram.size() <= MacBytes || datagram.size() > MaxDatagramBytes) {
         return core::notRun(core::Reason::BadRequest, "datagram of a wrong size");
     }
     if (!isAuthentic(datagram, secret)) {
