upstreams: a log line for each attempt that fails, is repeated or is sampled

Cause: nothing told which endpoint was chosen for a request, on what belief. Change: attempt-ended with the trace, endpoint, outcome, time, the likelihood of a bad spell at the choice, its age and the load known; one plain attempt in 16, by the trace.

--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "damaskgate/core/names.h"
@@ -22,6 +26,15 @@
     Cancelled, //!< the caller left; says nothing about the endpoint
 };
 
+/** @return the outcome as it stands in logs, such as `server-error`. */
+constexpr std::string_view toText(Outcome outcome)
+{
+    constexpr std::array<std::string_view, 8> Texts { "answered",   "server-error",   "misdirected",
+                                                      "shed",       "connect-failed", "timeout",
+                                                      "broken-off", "cancelled" };
+    return Texts[static_cast<std::size_t>(outcome)];
+}
+
 /** Load that an endpoint reports in its answers. It may lag or mislead. */
 struct LoadReport
 {
@@ -47,6 +60,7 @@
     bool isDeferrable = false;
     core::Instant deadline;
     std::vector<core::EndpointName> excluded; //!< endpoints that already failed this request
+    std::string traceId {}; //!< of the request, for logs
     bool isRepeatable = false; //!< may be tried at an endpoint that is likely to fail
 };
 
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -302,7 +302,8 @@
     const core::Instant from = this->context.now();
     const balance::WorkRequest work { this->service,         this->permission.workspace,
                                       route.isDeferrable,    this->plan.deadline,
-                                      this->failedEndpoints, route.isRepeatable };
+                                      this->failedEndpoints, this->record.traceId,
+                                      route.isRepeatable };
     const std::uint64_t id =
         balancer.acquire(work, [decision](Grant grant) { decision->set(std::move(grant)); });
     this->onAbort = [this, &balancer, decision, id] {
@@ -471,15 +472,15 @@
     }
     const int status = core::httpStatus(error.reason);
     if (!error.retryAfter && isWorthRetrying(error, status)) {
-        error.retryAfter = error.reason == core::Reason::Draining ? DrainingRetryAfter
-                                                                  : DefaultRetryAfter;
+        error.retryAfter =
+            error.reason == core::Reason::Draining ? DrainingRetryAfter : DefaultRetryAfter;
     }
     std::string host;
     if (error.reason == core::Reason::OperationElsewhere) {
         host = this->context.operations.ownerOf(this->facts.operationKey).text();
     }
-    const bool isClosing = this->plan.isClosing || this->context.isLeaving || this->context.isDraining
-        || !this->body.isDone();
+    const bool isClosing = this->plan.isClosing || this->context.isLeaving
+        || this->context.isDraining || !this->body.isDone();
     const std::string message = toMessage(
         { std::move(error), status, this->record.traceId, host, isClosing, this->plan.isHead },
         this->context.options.dialect);
--- a/src/upstreams/endpointbelief.cpp
+++ b/src/upstreams/endpointbelief.cpp
@@ -43,6 +43,11 @@
     return settled + (this->bad - settled) * std::exp(-(turnBad + turnSound) * passed);
 }
 
+core::Instant EndpointBelief::updated() const
+{
+    return this->updatedAt;
+}
+
 double EndpointBelief::failureChance(core::Instant now) const
 {
     const double bad = this->badness(now);
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -122,7 +122,9 @@
     return Choice { { 0, chosen.facts.service, chosen.facts.endpoint },
                     chosen.belief.badness(now),
                     chosen.running.size(),
-                    isRetrial };
+                    isRetrial,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        now - chosen.belief.updated()) };
 }
 
 void EndpointBook::onStarted(std::uint32_t tag, std::uint32_t host, core::Instant now)
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -17,6 +17,7 @@
     Ended = 3, //!< amount is the outcome
 };
 
+constexpr std::uint32_t PlainAttemptsPerLine = 16;
 constexpr std::uint16_t LastOutcome = static_cast<std::uint16_t>(balance::Outcome::Cancelled);
 
 } // namespace
@@ -38,7 +39,8 @@
     }
     const std::uint32_t tag = core::tagOf(choice->grant.endpoint.name.text());
     choice->grant.id = ++this->lastGrant;
-    this->held.emplace(choice->grant.id, tag);
+    const std::uint64_t id = choice->grant.id;
+    this->held.emplace(id, Held { tag, request.traceId, *choice, request.excluded.size() });
     this->dependencies.book.onStarted(tag, 0, now);
     const bool isRepeated = !request.excluded.empty();
     const std::uint32_t account =
@@ -57,13 +59,36 @@
     if (found == this->held.end()) {
         return;
     }
-    const std::uint32_t tag = found->second;
+    const Held attempt = std::move(found->second);
     this->held.erase(found);
+    const std::uint32_t tag = attempt.tag;
+    this->report(attempt, report);
     this->dependencies.book.onEnded(tag, 0, report.outcome, this->dependencies.clock.now());
     this->dependencies.notes.publish({ static_cast<std::uint8_t>(NoteKind::Ended),
                                        static_cast<std::uint16_t>(report.outcome), tag, 0, 0 });
 }
 
+// Attempts that end well are sampled by the trace, so that all hosts keep the same ones.
+void FleetBalancer::report(const Held &attempt, const balance::ExchangeReport &report)
+{
+    const bool isPlain = report.outcome == balance::Outcome::Answered && attempt.excluded == 0;
+    if (isPlain && core::tagOf(attempt.traceId) % PlainAttemptsPerLine != 0) {
+        return;
+    }
+    const auto latency = std::chrono::duration_cast<std::chrono::milliseconds>(report.latency);
+    this->dependencies.events.record({ "attempt-ended",
+                                       { { "trace", attempt.traceId },
+                                         { "service", attempt.choice.grant.service.text() },
+                                         { "endpoint", attempt.choice.grant.endpoint.name.text() },
+                                         { "outcome", balance::toText(report.outcome) },
+                                         { "first_byte_ms", latency.count() },
+                                         { "attempt", attempt.excluded + 1 },
+                                         { "badness", attempt.choice.badness },
+                                         { "evidence_age_ms", attempt.choice.evidenceAge.count() },
+                                         { "in_flight", attempt.choice.inFlight },
+                                         { "retrial", attempt.choice.isRetrial } } });
+}
+
 void FleetBalancer::onNote(const fleet::Note &note)
 {
     switch (static_cast<NoteKind>(note.kind)) {
--- a/src/upstreams/include/damaskgate/upstreams/endpointbelief.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbelief.h
@@ -35,6 +35,9 @@
     /** @return the likelihood of a bad spell at @p now. */
     double badness(core::Instant now) const;
 
+    /** @return when evidence was last taken in. */
+    core::Instant updated() const;
+
     /** @return the likelihood that a request sent at @p now fails. */
     double failureChance(core::Instant now) const;
 
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -57,6 +57,7 @@
     double badness = 0;
     std::size_t inFlight = 0; //!< over all hosts, as far as heard
     bool isRetrial = false;
+    std::chrono::milliseconds evidenceAge { 0 }; //!< since the last outcome that was heard of
 };
 
 /**
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "damaskgate/balance/ibalancer.h"
 #include "damaskgate/core/event.h"
@@ -37,11 +38,20 @@
     void release(std::uint64_t grantId, const balance::ExchangeReport &report) override;
 
 private:
+    struct Held
+    {
+        std::uint32_t tag = 0; //!< of the endpoint
+        std::string traceId;
+        Choice choice;
+        std::size_t excluded = 0; //!< endpoints that failed the request before
+    };
+
+    void report(const Held &attempt, const balance::ExchangeReport &report);
     void onNote(const fleet::Note &note);
     void onRemoteStart(const fleet::Note &note, bool isRetry);
 
     Dependencies dependencies;
-    std::map<std::uint64_t, std::uint32_t> held; //!< endpoint of each grant
+    std::map<std::uint64_t, Held> held; //!< by the id of the grant
     std::uint64_t lastGrant = 0;
 };
 
