upstreams: a time-out is evidence only after three times the service's usual time

Ruled out: leaving time-outs out; a hanging endpoint shows in nothing else. Change: a moving average of the time to an answer for each service.

--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -14,6 +14,7 @@
 constexpr double FullCost = 0.6; // of an endpoint that has refused work lately
 constexpr double TieSpread = 0.06; // hosts that choose at the same time spread over equal ones
 constexpr core::Duration FullFor = std::chrono::milliseconds(300);
+constexpr int LatencyMemory = 16; // answers that the moving average spans
 constexpr double ShedWeight = 0.3; // a refusal of work is a hint of a bad spell only
 
 bool isFailure(balance::Outcome outcome)
@@ -168,6 +169,20 @@
     }
 }
 
+void EndpointBook::onLatency(const core::ServiceName &service, core::Duration latency)
+{
+    const auto [found, isFirst] = this->latencies.emplace(service, latency);
+    if (!isFirst) {
+        found->second += (latency - found->second) / LatencyMemory;
+    }
+}
+
+std::optional<core::Duration> EndpointBook::usualLatency(const core::ServiceName &service) const
+{
+    const auto found = this->latencies.find(service);
+    return found == this->latencies.end() ? std::nullopt : std::optional(found->second);
+}
+
 bool EndpointBook::isFilled() const
 {
     return this->wasFilled;
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -17,6 +17,7 @@
     Ended = 3, //!< amount is the outcome
 };
 
+constexpr int LateFactor = 3; // times the service's usual time
 constexpr std::uint32_t PlainAttemptsPerLine = 16;
 constexpr std::uint16_t LastOutcome = static_cast<std::uint16_t>(balance::Outcome::Cancelled);
 
@@ -63,9 +64,25 @@
     this->held.erase(found);
     const std::uint32_t tag = attempt.tag;
     this->report(attempt, report);
-    this->dependencies.book.onEnded(tag, 0, report.outcome, this->dependencies.clock.now());
+    if (report.outcome == balance::Outcome::Answered) {
+        this->dependencies.book.onLatency(attempt.choice.grant.service, report.latency);
+    }
+    const balance::Outcome outcome = this->judge(attempt, report);
+    this->dependencies.book.onEnded(tag, 0, outcome, this->dependencies.clock.now());
     this->dependencies.notes.publish({ static_cast<std::uint8_t>(NoteKind::Ended),
-                                       static_cast<std::uint16_t>(report.outcome), tag, 0, 0 });
+                                       static_cast<std::uint16_t>(outcome), tag, 0, 0 });
+}
+
+// A time-out says something of the endpoint only after much more than the service's usual time.
+balance::Outcome FleetBalancer::judge(const Held &attempt,
+                                      const balance::ExchangeReport &report) const
+{
+    if (report.outcome != balance::Outcome::Timeout) {
+        return report.outcome;
+    }
+    const auto usual = this->dependencies.book.usualLatency(attempt.choice.grant.service);
+    return usual && report.latency > *usual * LateFactor ? balance::Outcome::Timeout
+                                                         : balance::Outcome::Cancelled;
 }
 
 // Attempts that end well are sampled by the trace, so that all hosts keep the same ones.
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -95,6 +95,12 @@
     void onEnded(std::uint32_t tag, std::uint32_t host, balance::Outcome outcome,
                  core::Instant now);
 
+    /** Notes that the service took @p latency for a whole answer. */
+    void onLatency(const core::ServiceName &service, core::Duration latency);
+
+    /** @return the usual time of the service to its answers; nothing before the first ones. */
+    std::optional<core::Duration> usualLatency(const core::ServiceName &service) const;
+
     /** @return whether the list of endpoints was given at least once. */
     bool isFilled() const;
 
@@ -134,6 +140,7 @@
     core::DomainName domain;
     std::mt19937_64 random;
     std::map<core::ServiceName, ServiceBounds> services;
+    std::map<core::ServiceName, core::Duration> latencies; //!< moving averages
     std::set<core::DomainName> withdrawn;
     std::map<core::EndpointName, Entry> entries;
     std::map<std::uint32_t, core::EndpointName> namesByTag;
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -46,6 +46,7 @@
         std::size_t excluded = 0; //!< endpoints that failed the request before
     };
 
+    balance::Outcome judge(const Held &attempt, const balance::ExchangeReport &report) const;
     void report(const Held &attempt, const balance::ExchangeReport &report);
     void onNote(const fleet::Note &note);
     void onRemoteStart(const fleet::Note &note, bool isRetry);
