upstreams: suspects are tried again later and more rarely

Cause: three in ten endpoints are in a bad spell at any time; every second failure was a trial of a suspect, at an even chance that it fails. Ruled out: no trials at all; endpoints that came back would stay unused. Change: a suspect is tried again below a likelihood of 0.37 (before 0.55), after 5 s (3 s), by 6 in 100 requests (20).

--- a/src/upstreams/include/damaskgate/upstreams/endpointbelief.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbelief.h
@@ -9,7 +9,7 @@
 /** Rates and chances that an EndpointBelief reckons with. */
 struct BeliefModel
 {
-    core::Duration soundSpell = std::chrono::seconds(25); //!< mean time between two bad spells
+    core::Duration soundSpell = std::chrono::seconds(22); //!< mean time between two bad spells
     core::Duration badSpell = std::chrono::seconds(9); //!< mean length of a bad spell
     double failuresWhenBad = 0.85; //!< share of the requests that fail in a bad spell
     double failuresWhenSound = 0.012; //!< share that fail all the same
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -41,9 +41,9 @@
 {
     BeliefModel belief;
     double suspectAbove = 0.12; //!< likelihood of a bad spell from which an endpoint is avoided
-    double retrialBelow = 0.55; //!< likelihood from which a suspect is tried again
-    core::Duration retrialPause = std::chrono::seconds(3); //!< between two trials of a suspect
-    double retrialShare = 0.2; //!< of the requests while a trial is due
+    double retrialBelow = 0.37; //!< likelihood from which a suspect is tried again
+    core::Duration retrialPause = std::chrono::seconds(5); //!< between two trials of a suspect
+    double retrialShare = 0.06; //!< of the requests while a trial is due
     core::Duration lostAfter = std::chrono::seconds(8); //!< a start without an end is forgotten
     double coldRateUsed = 0.8; //!< share of what a cold endpoint bears
     double coldBurst = 2; //!< requests
--- /dev/null
+++ b/src/upstreams/tests/grayfleet.cpp
@@ -0,0 +1,184 @@
+#include "grayfleet.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "damaskgate/core/hash.h"
+
+namespace damaskgate::upstreams {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+const core::ServiceName Service("bokun");
+
+core::Instant toInstant(double seconds)
+{
+    return core::Instant(std::chrono::hours(1))
+        + std::chrono::duration_cast<core::Duration>(Seconds(seconds));
+}
+
+/** An endpoint that serves its queue in order and is bad for a spell now and then. */
+struct GrayEndpoint
+{
+    core::EndpointName name;
+    bool isBad = false;
+    double nextDraw = 0;
+    std::vector<double> freeAt; //!< of each slot
+};
+
+struct Step
+{
+    double at = 0;
+    std::function<void(double)> act;
+
+    bool operator>(const Step &other) const
+    {
+        return this->at > other.at;
+    }
+};
+
+class GrayFleet
+{
+public:
+    GrayFleet(const GrayScenario &scenario, const ChoiceModel &model)
+        : scenario(scenario), random(scenario.seed)
+    {
+        std::vector<RegisteredEndpoint> registered;
+        for (int i = 0; i < scenario.endpoints; ++i) {
+            GrayEndpoint endpoint;
+            endpoint.name = core::EndpointName("endpoint-" + std::to_string(i));
+            endpoint.freeAt.assign(scenario.slots, 0);
+            endpoint.nextDraw = this->uniform() * scenario.spell;
+            endpoint.isBad = this->uniform() < scenario.badShare;
+            this->endpoints.push_back(endpoint);
+            RegisteredEndpoint facts;
+            facts.endpoint.name = endpoint.name;
+            facts.service = Service;
+            facts.slots = scenario.slots;
+            facts.revision = 1;
+            registered.push_back(facts);
+        }
+        for (int i = 0; i < scenario.hosts; ++i) {
+            this->books.push_back(
+                std::make_unique<EndpointBook>(model, core::DomainName(), scenario.seed + i));
+            this->books.back()->setEndpoints(registered, true, toInstant(0));
+        }
+    }
+
+    GrayResult play()
+    {
+        this->scheduleArrival(0);
+        while (!this->steps.empty() && this->steps.top().at < this->scenario.duration) {
+            const Step step = this->steps.top();
+            this->steps.pop();
+            step.act(step.at);
+        }
+        this->result.meanLatency = this->latencySum / std::max(this->answered, 1);
+        return this->result;
+    }
+
+private:
+    double uniform()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->random);
+    }
+
+    void schedule(double at, std::function<void(double)> act)
+    {
+        this->steps.push({ at, std::move(act) });
+    }
+
+    void scheduleArrival(double now)
+    {
+        const double gap =
+            std::exponential_distribution<double>(this->scenario.requestsPerSecond)(this->random);
+        this->schedule(now + gap, [this](double at) {
+            this->arrive(at);
+            this->scheduleArrival(at);
+        });
+    }
+
+    void arrive(double now)
+    {
+        const auto host = static_cast<std::size_t>(this->uniform() * this->scenario.hosts);
+        balance::WorkRequest request;
+        request.service = Service;
+        request.isRepeatable = this->scenario.isRepeatable;
+        const auto choice = this->books[host]->choose(request, toInstant(now));
+        ++this->result.requests;
+        if (!choice) {
+            ++this->result.failed;
+            return;
+        }
+        const std::uint32_t tag = core::tagOf(choice->grant.endpoint.name.text());
+        this->tell(host, now, [tag](EndpointBook &book, std::uint32_t from, core::Instant at) {
+            book.onStarted(tag, from, at);
+        });
+        this->serve(host, choice->grant.endpoint.name, tag, now);
+    }
+
+    void serve(std::size_t host, const core::EndpointName &name, std::uint32_t tag, double now)
+    {
+        GrayEndpoint &endpoint = *std::ranges::find(this->endpoints, name, &GrayEndpoint::name);
+        for (; endpoint.nextDraw <= now; endpoint.nextDraw += this->scenario.spell) {
+            endpoint.isBad = this->uniform() < this->scenario.badShare;
+        }
+        const double failures =
+            endpoint.isBad ? this->scenario.failuresWhenBad : this->scenario.failuresWhenSound;
+        const bool isFailed = this->uniform() < failures;
+        const auto slot = std::ranges::min_element(endpoint.freeAt);
+        const double start = std::max(now, *slot);
+        const double work = isFailed ? 0.001
+                                     : std::lognormal_distribution<double>(
+                                         std::log(this->scenario.work) - 0.1, 0.45)(this->random);
+        *slot = start + work;
+        this->result.failed += isFailed ? 1 : 0;
+        if (!isFailed) {
+            ++this->answered;
+            this->latencySum += start + work - now;
+        }
+        const auto outcome = isFailed ? balance::Outcome::ServerError : balance::Outcome::Answered;
+        this->schedule(start + work, [this, host, tag, outcome](double at) {
+            this->tell(host, at,
+                       [tag, outcome](EndpointBook &book, std::uint32_t from, core::Instant when) {
+                           book.onEnded(tag, from, outcome, when);
+                       });
+        });
+    }
+
+    using Tell = std::function<void(EndpointBook &, std::uint32_t, core::Instant)>;
+
+    void tell(std::size_t host, double now, const Tell &note)
+    {
+        note(*this->books[host], 0, toInstant(now));
+        this->schedule(now + this->scenario.noteDelay, [this, host, note](double at) {
+            for (std::size_t other = 0; other < this->books.size(); ++other) {
+                if (other != host) {
+                    note(*this->books[other], static_cast<std::uint32_t>(host + 1), toInstant(at));
+                }
+            }
+        });
+    }
+
+    GrayScenario scenario;
+    std::mt19937_64 random;
+    std::vector<GrayEndpoint> endpoints;
+    std::vector<std::unique_ptr<EndpointBook>> books;
+    std::priority_queue<Step, std::vector<Step>, std::greater<>> steps;
+    GrayResult result;
+    double latencySum = 0;
+    int answered = 0;
+};
+
+} // namespace
+
+GrayResult playGrayScenario(const GrayScenario &scenario, const ChoiceModel &model)
+{
+    return GrayFleet(scenario, model).play();
+}
+
+} // namespace damaskgate::upstreams
