--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -61,6 +61,8 @@
     core::Instant deadline;
     std::vector<core::EndpointName> excluded; //!< endpoints that already failed this request
     std::string traceId {}; //!< of the request, for logs
+    core::Duration latencyObjective {}; //!< zero: none
+    bool isRetry = false; //!< an endpoint has got the request before
     bool isRepeatable = false; //!< may be tried at an endpoint that is likely to fail
 };
 
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr std::size_t MaxEndpointsTried = 5; //!< for one request, also those not reached
 constexpr std::size_t DefaultMaxAttempts = 3; //!< of routes without a limit
 constexpr std::chrono::seconds DefaultTimeout { 30 }; //!< of routes without one
 constexpr std::chrono::milliseconds DefaultRetryAfter { 1000 };
@@ -257,11 +258,12 @@
 {
     this->context.retries().onRequest(this->service);
     std::optional<core::Error> lastError;
-    for (std::size_t attempts = 1;; ++attempts) {
+    std::size_t attempts = 1;
+    while (true) {
         if (Step still = this->checkAgain(); !still) {
             co_return still;
         }
-        const auto grant = co_await this->acquire();
+        const auto grant = co_await this->acquire(attempts > 1);
         if (!grant) {
             co_return tl::unexpected(lastError.value_or(grant.error()));
         }
@@ -285,12 +287,13 @@
         if (!this->mayRetry(result, attempts)) {
             co_return tl::unexpected(*result.error);
         }
+        attempts += result.error->reason == core::Reason::UpstreamUnreachable ? 0 : 1;
         lastError = result.error;
         this->failedEndpoints.push_back(grant->endpoint.name);
     }
 }
 
-asio::awaitable<core::Result<balance::SlotGrant>> Exchange::acquire()
+asio::awaitable<core::Result<balance::SlotGrant>> Exchange::acquire(bool isRetry)
 {
     using Grant = core::Result<balance::SlotGrant>;
     if (this->abortCause != AbortCause::None) {
@@ -300,10 +303,16 @@
     balance::IBalancer &balancer = this->context.dependencies.balancer;
     const settings::Route &route = *this->permission.route;
     const core::Instant from = this->context.now();
-    const balance::WorkRequest work { this->service,         this->permission.workspace,
-                                      route.isDeferrable,    this->plan.deadline,
-                                      this->failedEndpoints, this->record.traceId,
-                                      route.isRepeatable };
+    balance::WorkRequest work;
+    work.service = this->service;
+    work.workspace = this->permission.workspace;
+    work.isDeferrable = route.isDeferrable;
+    work.deadline = this->plan.deadline;
+    work.excluded = this->failedEndpoints;
+    work.traceId = this->record.traceId;
+    work.latencyObjective = route.latencyObjective;
+    work.isRetry = isRetry;
+    work.isRepeatable = route.isRepeatable;
     const std::uint64_t id =
         balancer.acquire(work, [decision](Grant grant) { decision->set(std::move(grant)); });
     this->onAbort = [this, &balancer, decision, id] {
@@ -378,17 +387,20 @@
 
 bool Exchange::mayRetry(const AttemptResult &result, std::size_t attempts)
 {
+    if (result.error->reason == core::Reason::UpstreamUnreachable) {
+        // No endpoint has got it yet, so that neither a limit nor a budget is used up.
+        return this->body.isReplayable() && this->failedEndpoints.size() + 1 < MaxEndpointsTried;
+    }
     if (result.isAnswerStarted || !this->mayRepeat(attempts)) {
         return false;
     }
     const bool isRepeatable =
         this->permission.route->isRepeatable && isIdempotent(this->parser.get().method());
     const Dialect &dialect = this->context.options.dialect;
-    const bool isUnsent = result.error->reason == core::Reason::UpstreamUnreachable;
     const bool isShedSafely = result.error->reason == core::Reason::UpstreamShed
         && (this->permission.route->isRepeatable || this->operation || dialect.isShedFinal);
     const bool isSafe =
-        result.error->verdict == core::Verdict::NotRun ? isUnsent || isShedSafely : isRepeatable;
+        result.error->verdict == core::Verdict::NotRun ? isShedSafely : isRepeatable;
     return isSafe && this->context.retries().tryTake(this->service);
 }
 
@@ -470,7 +482,7 @@
     if (this->abortCause == AbortCause::CallerLeft || this->abortCause == AbortCause::Stopped) {
         co_return false;
     }
-    const int status = core::httpStatus(error.reason);
+    const int status = statusOf(error, this->context.options.dialect);
     if (!error.retryAfter && isWorthRetrying(error, status)) {
         error.retryAfter =
             error.reason == core::Reason::Draining ? DrainingRetryAfter : DefaultRetryAfter;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -44,7 +44,7 @@
     asio::awaitable<Step> admit();
     asio::awaitable<Step> readBody();
     asio::awaitable<Step> forward();
-    asio::awaitable<core::Result<balance::SlotGrant>> acquire();
+    asio::awaitable<core::Result<balance::SlotGrant>> acquire(bool isRetry);
     Step checkAgain();
     asio::awaitable<AttemptResult> tryEndpoint(const settings::Endpoint &endpoint);
     bool mayRetry(const AttemptResult &result, std::size_t attempts);
--- a/src/entry/refusal.cpp
+++ b/src/entry/refusal.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds::rep MillisecondsPerSecond = 1000;
+constexpr int ServerErrorStatus = 500;
+constexpr int BadGatewayStatus = 502;
+constexpr int UnavailableStatus = 503;
+constexpr int GatewayTimeoutStatus = 504;
 
 std::string statusLine(int status)
 {
@@ -48,6 +52,18 @@
 
 } // namespace
 
+int statusOf(const core::Error &error, const Dialect &dialect)
+{
+    const int status = core::httpStatus(error.reason);
+    if (!dialect.isStatusVerdict) {
+        return status;
+    }
+    if (error.verdict == core::Verdict::NotRun) {
+        return status >= ServerErrorStatus ? UnavailableStatus : status;
+    }
+    return status == GatewayTimeoutStatus ? status : BadGatewayStatus;
+}
+
 std::string toMessage(const Refusal &refusal, const Dialect &dialect)
 {
     const nlohmann::json body { { "reason", core::toText(refusal.error.reason) },
--- a/src/entry/refusal.h
+++ b/src/entry/refusal.h
@@ -19,6 +19,9 @@
     bool isHead = false; //!< the request asked for the header only
 };
 
+/** @return the status that a refusal with @p error is sent with. */
+int statusOf(const core::Error &error, const Dialect &dialect);
+
 /** @return @p refusal as an HTTP message. */
 std::string toMessage(const Refusal &refusal, const Dialect &dialect);
 
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -10,7 +10,10 @@
 namespace {
 
 constexpr double BusyCost = 0.25; // of an endpoint whose slots are all taken, in failed requests
-constexpr double QueueCost = 0.5; // of each request for each slot that waits before
+constexpr double QueueCost = 0.1; // of each round of the slots that waits before
+constexpr double LateCost = 0.7; // of an answer after its objective, of a failed request
+constexpr double LateFrom = 0.7; // part of the objective at which some answers are late
+constexpr double LateUntil = 1.3; // part of the objective at which nearly all are late
 constexpr double FullCost = 0.6; // of an endpoint that has refused work lately
 constexpr double TieSpread = 0.06; // hosts that choose at the same time spread over equal ones
 constexpr core::Duration FullFor = std::chrono::milliseconds(300);
@@ -105,7 +108,7 @@
         if (this->isRetrialDue(entry, now)) {
             retrial = &entry;
         }
-        const double cost = this->costOf(entry, now) + TieSpread * unit(this->random);
+        const double cost = this->costOf(entry, request, now) + TieSpread * unit(this->random);
         if (best == nullptr || cost < bestCost) {
             best = &entry;
             bestCost = cost;
@@ -227,14 +230,14 @@
         && entry.running.empty();
 }
 
-double EndpointBook::costOf(Entry &entry, core::Instant now)
+double EndpointBook::costOf(Entry &entry, const balance::WorkRequest &request, core::Instant now)
 {
     this->forgetLostStarts(entry, now);
     const double running = static_cast<double>(entry.running.size());
     const double slots = std::max<double>(entry.facts.slots, 1);
-    const double waiting = std::max(running + 1 - slots, 0.0);
+    const double rounds = std::max(running + 1 - slots, 0.0) / slots;
     double cost = entry.belief.failureChance(now) + BusyCost * std::min(running / slots, 1.0)
-        + QueueCost * waiting / slots;
+        + QueueCost * rounds + this->lateCost(request, rounds);
     if (now < entry.fullUntil) {
         cost += FullCost;
     }
@@ -244,6 +247,19 @@
     return cost;
 }
 
+// What it costs that an answer comes late, after waiting for so many rounds of the usual time.
+double EndpointBook::lateCost(const balance::WorkRequest &request, double rounds) const
+{
+    const auto usual = this->usualLatency(request.service);
+    if (!usual || request.latencyObjective <= core::Duration::zero()) {
+        return 0;
+    }
+    using Seconds = std::chrono::duration<double>;
+    const double part = Seconds(*usual).count() * (1 + rounds)
+        / Seconds(request.latencyObjective).count();
+    return LateCost * std::clamp((part - LateFrom) / (LateUntil - LateFrom), 0.0, 1.0);
+}
+
 void EndpointBook::forgetLostStarts(Entry &entry, core::Instant now) const
 {
     while (!entry.running.empty() && now - entry.running.front().at > this->model.lostAfter) {
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -15,6 +15,7 @@
     Started = 1, //!< the first attempt of a request
     Repeated = 2, //!< a further attempt of a request
     Ended = 3, //!< amount is the outcome
+    Redirected = 4, //!< a further attempt of a request that no endpoint has got yet
 };
 
 constexpr int LateFactor = 3; // times the service's usual time
@@ -43,10 +44,12 @@
     const std::uint64_t id = choice->grant.id;
     this->held.emplace(id, Held { tag, request.traceId, *choice, request.excluded.size() });
     this->dependencies.book.onStarted(tag, 0, now);
-    const bool isRepeated = !request.excluded.empty();
+    const bool isFurther = !request.excluded.empty();
     const std::uint32_t account =
-        isRepeated || request.workspace.isEmpty() ? 0 : core::tagOf(request.workspace.text());
-    const NoteKind kind = isRepeated ? NoteKind::Repeated : NoteKind::Started;
+        isFurther || request.workspace.isEmpty() ? 0 : core::tagOf(request.workspace.text());
+    const NoteKind kind = request.isRetry ? NoteKind::Repeated
+        : isFurther                       ? NoteKind::Redirected
+                                          : NoteKind::Started;
     this->dependencies.notes.publish({ static_cast<std::uint8_t>(kind), 0, tag, account, 0 });
     done(std::move(choice->grant));
     return 0;
@@ -115,6 +118,10 @@
     case NoteKind::Repeated:
         this->onRemoteStart(note, true);
         return;
+    case NoteKind::Redirected:
+        this->dependencies.book.onStarted(note.subject, note.origin,
+                                          this->dependencies.clock.now());
+        return;
     case NoteKind::Ended:
         if (note.amount <= LastOutcome) {
             this->dependencies.book.onEnded(note.subject, note.origin,
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -132,7 +132,8 @@
     void put(const RegisteredEndpoint &facts, core::Instant now);
     bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
     bool isRetrialDue(const Entry &entry, core::Instant now) const;
-    double costOf(Entry &entry, core::Instant now);
+    double costOf(Entry &entry, const balance::WorkRequest &request, core::Instant now);
+    double lateCost(const balance::WorkRequest &request, double rounds) const;
     void forgetLostStarts(Entry &entry, core::Instant now) const;
     Entry *findByTag(std::uint32_t tag);
 
