--- /dev/null
+++ b/src/limits/tests/sharedadmission_test.cpp
@@ -0,0 +1,206 @@
+#include <deque>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "damaskgate/core/hash.h"
+#include "damaskgate/limits/sharedadmission.h"
+
+namespace damaskgate::limits {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const core::WorkspaceName Halls("halls");
+constexpr double Rate = 36;
+constexpr double Burst = 36;
+constexpr milliseconds Window { 5000 }; // of the limit below
+
+settings::Settings settingsWith(double rate, double burst)
+{
+    settings::Settings settings;
+    settings::Workspace workspace;
+    workspace.name = Halls;
+    workspace.ratePerSecond = rate;
+    workspace.burst = burst;
+    settings.workspaces.emplace(Halls, workspace);
+    return settings;
+}
+
+/** Hosts that hear of each other's takes late, or not at all across a cut. */
+class QuotaFleet
+{
+public:
+    explicit QuotaFleet(std::size_t hosts)
+    {
+        for (std::size_t i = 0; i < hosts; ++i) {
+            this->hosts.push_back(std::make_unique<SharedAdmission>(this->clock));
+            this->hosts.back()->applySettings(settingsWith(Rate, Burst));
+        }
+    }
+
+    // Splits the hosts in two parts that hear only their own.
+    void cut(std::size_t firstPart)
+    {
+        this->firstPart = firstPart;
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            const std::size_t size = i < firstPart ? firstPart : this->hosts.size() - firstPart;
+            this->hosts[i]->setShare(static_cast<double>(size)
+                                     / static_cast<double>(this->hosts.size()));
+        }
+    }
+
+    /** Asks at @p perSecond for @p length, each time at a host at random. */
+    void play(double perSecond, milliseconds length)
+    {
+        const core::Instant end = this->clock.now() + length;
+        const auto gap = std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double>(1 / perSecond));
+        while (this->clock.now() < end) {
+            this->clock.advance(gap);
+            this->deliverNotes();
+            this->ask();
+        }
+    }
+
+    /** @return the most that were let in within any Window. */
+    std::size_t mostInWindow() const
+    {
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < this->admitted.size(); ++last) {
+            while (this->admitted[last] - this->admitted[first] > Window) {
+                ++first;
+            }
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    std::vector<core::Instant> admitted;
+
+private:
+    struct Note
+    {
+        core::Instant due;
+        std::size_t from;
+    };
+
+    void ask()
+    {
+        const std::size_t host =
+            std::uniform_int_distribution<std::size_t>(0, this->hosts.size() - 1)(this->random);
+        this->hosts[host]->admit(Halls, this->clock.now(), [this, host](core::Result<void> result) {
+            if (result) {
+                this->admitted.push_back(this->clock.now());
+                this->notes.push_back({ this->clock.now() + NoteDelay, host });
+            }
+        });
+    }
+
+    void deliverNotes()
+    {
+        while (!this->notes.empty() && this->notes.front().due <= this->clock.now()) {
+            const std::size_t from = this->notes.front().from;
+            this->notes.pop_front();
+            for (std::size_t to = 0; to < this->hosts.size(); ++to) {
+                if (to != from && (to < this->firstPart) == (from < this->firstPart)) {
+                    this->hosts[to]->takeRemote(core::tagOf(Halls.text()));
+                }
+            }
+        }
+    }
+
+    static constexpr milliseconds NoteDelay { 120 };
+
+    core::ManualClock clock;
+    std::mt19937_64 random { 7 };
+    std::size_t firstPart = 0;
+    std::vector<std::unique_ptr<SharedAdmission>> hosts;
+    std::deque<Note> notes;
+};
+
+// What the users allow: a quarter beyond rate and burst of a window, and twenty.
+std::size_t allowedInWindow()
+{
+    const double seconds = std::chrono::duration<double>(Window).count();
+    return static_cast<std::size_t>((Rate * seconds + Burst) * 1.25 + 20);
+}
+
+} // namespace
+
+TEST(SharedAdmission_Tests, Admit_SeveralTimesTheRate_StaysWithinTheLimitOverAllHosts)
+{
+    // [GIVEN] 44 hosts that hear of each other's takes 120 ms late
+    QuotaFleet fleet(44);
+
+    // [WHEN] A workspace sends seven and a half times its rate
+    fleet.play(Rate * 7.5, milliseconds(20000));
+
+    // [THEN] No window holds more than is allowed, and nearly all of the rate is used
+    EXPECT_LE(fleet.mostInWindow(), allowedInWindow());
+    EXPECT_GE(fleet.admitted.size(), static_cast<std::size_t>(Rate * 20 * 0.95));
+}
+
+TEST(SharedAdmission_Tests, Admit_FleetSplit_StaysWithinTheLimitOverBothParts)
+{
+    // [GIVEN] A workspace that uses all of its rate
+    QuotaFleet fleet(44);
+    fleet.play(Rate * 5, milliseconds(5000));
+
+    // [WHEN] The fleet is split in two parts that do not hear each other
+    fleet.cut(15);
+    fleet.play(Rate * 5, milliseconds(15000));
+
+    // [THEN] Both parts together stay within the limit
+    EXPECT_LE(fleet.mostInWindow(), allowedInWindow());
+}
+
+TEST(SharedAdmission_Tests, Admit_BelowTheRate_RefusesNothing)
+{
+    // [GIVEN] A workspace that sends nine tenths of its rate
+    QuotaFleet fleet(44);
+    fleet.play(Rate * 0.9, milliseconds(20000));
+
+    // [THEN] All are let in
+    EXPECT_GE(fleet.admitted.size(), static_cast<std::size_t>(Rate * 0.9 * 20) - 1);
+}
+
+TEST(SharedAdmission_Tests, Admit_NoLimit_IsNeverRefused)
+{
+    // [GIVEN] A workspace without a rate
+    core::ManualClock clock;
+    SharedAdmission admission(clock);
+    admission.applySettings(settingsWith(0, 0));
+
+    // [THEN] A thousand at once are let in
+    int admitted = 0;
+    for (int i = 0; i < 1000; ++i) {
+        admission.admit(Halls, clock.now(),
+                        [&admitted](core::Result<void> result) { admitted += result ? 1 : 0; });
+    }
+    EXPECT_EQ(admitted, 1000);
+}
+
+TEST(SharedAdmission_Tests, Admit_OverTheRate_TellsWhenToComeBack)
+{
+    // [GIVEN] A workspace that has used its burst
+    core::ManualClock clock;
+    SharedAdmission admission(clock);
+    admission.applySettings(settingsWith(4, 1));
+    core::Result<void> last;
+    for (int i = 0; i < 2; ++i) {
+        admission.admit(Halls, clock.now(), [&last](core::Result<void> result) { last = result; });
+    }
+
+    // [THEN] The refusal has not run and names the time to the next token
+    ASSERT_FALSE(last);
+    EXPECT_EQ(last.error().reason, core::Reason::RateLimited);
+    EXPECT_EQ(last.error().verdict, core::Verdict::NotRun);
+    EXPECT_EQ(last.error().retryAfter, milliseconds(250));
+}
+
+} // namespace damaskgate::limits
--- /dev/null
+++ b/src/requestlog/tests/requestrecorder_test.cpp
@@ -0,0 +1,52 @@
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "damaskgate/requestlog/requestrecorder.h"
+
+namespace damaskgate::requestlog {
+
+namespace {
+
+class RecordingSink final : public core::IEventSink
+{
+public:
+    void record(const core::Event &event) override
+    {
+        this->lines.push_back(core::toLine(event));
+    }
+
+    std::vector<std::string> lines;
+};
+
+} // namespace
+
+// A refusal without a line cannot be explained afterwards, whatever its reason.
+TEST(RequestRecorder_Tests, OnRequestFinished_EveryReasonAndVerdict_WritesALine)
+{
+    for (int reason = 0; reason <= static_cast<int>(core::Reason::Internal); ++reason) {
+        for (const core::Verdict verdict :
+             { core::Verdict::NotRun, core::Verdict::MayHaveRun, core::Verdict::Ran }) {
+            // [GIVEN] A request that was refused
+            metrics::Registry registry;
+            RecordingSink sink;
+            RequestRecorder recorder(registry, sink);
+            entry::RequestRecord record;
+            record.traceId = "trace-1";
+            record.reason = static_cast<core::Reason>(reason);
+            record.verdict = verdict;
+
+            // [WHEN] It ends
+            recorder.onRequestFinished(record);
+
+            // [THEN] One line names it with its reason and verdict
+            ASSERT_EQ(sink.lines.size(), 1U);
+            EXPECT_NE(sink.lines.front().find("trace=trace-1"), std::string::npos);
+            EXPECT_NE(sink.lines.front().find(core::toText(*record.reason)), std::string::npos);
+            EXPECT_NE(sink.lines.front().find(core::toText(verdict)), std::string::npos);
+        }
+    }
+}
+
+} // namespace damaskgate::requestlog
--- /dev/null
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -0,0 +1,154 @@
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "damaskgate/core/hash.h"
+#include "damaskgate/upstreams/fleetbalancer.h"
+
+namespace damaskgate::upstreams {
+
+namespace {
+
+class FakeBoard final : public fleet::INoteBoard
+{
+public:
+    void publish(fleet::Note note) override
+    {
+        this->published.push_back(note);
+    }
+
+    void addListener(Listener listener) override
+    {
+        this->listener = std::move(listener);
+    }
+
+    std::vector<fleet::Note> published;
+    Listener listener;
+};
+
+class RecordingSink final : public core::IEventSink
+{
+public:
+    void record(const core::Event &event) override
+    {
+        this->lines.push_back(core::toLine(event));
+    }
+
+    std::vector<std::string> lines;
+};
+
+constexpr RetryBounds TightBudget { 0, 0, 1 };
+
+} // namespace
+
+class FleetBalancer_Tests : public testing::Test
+{
+protected:
+    FleetBalancer_Tests()
+    {
+        RegisteredEndpoint endpoint;
+        endpoint.endpoint.name = core::EndpointName("a");
+        endpoint.service = core::ServiceName("booking");
+        endpoint.revision = 1;
+        this->book.setEndpoints({ &endpoint, 1 }, true, this->clock.now());
+        this->request.service = endpoint.service;
+        this->request.workspace = core::WorkspaceName("halls");
+        this->request.traceId = "t-1";
+    }
+
+    balance::SlotGrant acquire()
+    {
+        balance::SlotGrant granted;
+        this->balancer.acquire(this->request, [&granted](core::Result<balance::SlotGrant> grant) {
+            granted = grant.value();
+        });
+        return granted;
+    }
+
+    core::ManualClock clock;
+    RecordingSink events;
+    FakeBoard board;
+    EndpointBook book { ChoiceModel {}, core::DomainName(), 1 };
+    limits::SharedAdmission admission { this->clock };
+    FleetRetryBudget retries { this->clock, TightBudget };
+    FleetBalancer balancer { { this->clock, this->events, this->board, this->book, this->admission,
+                               this->retries } };
+    balance::WorkRequest request;
+};
+
+TEST_F(FleetBalancer_Tests, Release_Failure_IsToldToTheOthers)
+{
+    // [WHEN] A request fails at an endpoint
+    const auto grant = this->acquire();
+    balance::ExchangeReport report;
+    report.outcome = balance::Outcome::ServerError;
+    this->balancer.release(grant.id, report);
+
+    // [THEN] Its start, with the workspace, and its end are published, and a line names the request
+    ASSERT_EQ(this->board.published.size(), 2U);
+    EXPECT_EQ(this->board.published[0].account, core::tagOf("halls"));
+    EXPECT_EQ(this->board.published[1].amount,
+              static_cast<std::uint16_t>(balance::Outcome::ServerError));
+    ASSERT_EQ(this->events.lines.size(), 1U);
+    EXPECT_NE(this->events.lines.front().find("trace=t-1"), std::string::npos);
+}
+
+TEST_F(FleetBalancer_Tests, OnNote_RetryOfAnotherHost_IsTakenFromTheBudget)
+{
+    // [GIVEN] A budget of one retry
+    ASSERT_TRUE(this->retries.hasRetry(this->request.service));
+
+    // [WHEN] Another host repeats a request
+    this->request.isRetry = true;
+    this->request.excluded = { core::EndpointName("b") };
+    this->acquire();
+    fleet::Note note = this->board.published.front();
+    note.origin = 9;
+    this->board.listener(note);
+
+    // [THEN] Nothing is left here
+    EXPECT_FALSE(this->retries.hasRetry(this->request.service));
+}
+
+TEST_F(FleetBalancer_Tests, OnNote_RedirectedRequestOfAnotherHost_LeavesTheBudget)
+{
+    // [WHEN] Another host turns to a second endpoint since the first was not reached
+    this->request.excluded = { core::EndpointName("b") };
+    this->acquire();
+    fleet::Note note = this->board.published.front();
+    note.origin = 9;
+    this->board.listener(note);
+
+    // [THEN] The budget is as before, and no workspace is charged twice
+    EXPECT_TRUE(this->retries.hasRetry(this->request.service));
+    EXPECT_EQ(note.account, 0U);
+}
+
+TEST_F(FleetBalancer_Tests, Release_TimeOutWithinTheUsualTime_IsNoEvidence)
+{
+    // [GIVEN] A service that usually takes a second
+    this->book.onLatency(this->request.service, std::chrono::seconds(1));
+    const double before = *this->book.badnessOf(core::EndpointName("a"), this->clock.now());
+
+    // [WHEN] A request with a short limit is given up
+    const auto grant = this->acquire();
+    balance::ExchangeReport report;
+    report.outcome = balance::Outcome::Timeout;
+    report.latency = std::chrono::milliseconds(300);
+    this->balancer.release(grant.id, report);
+
+    // [THEN] The endpoint is not blamed
+    EXPECT_DOUBLE_EQ(*this->book.badnessOf(core::EndpointName("a"), this->clock.now()), before);
+}
+
+TEST_F(FleetBalancer_Tests, Acquire_NoEndpoint_IsRefusedAtOnceAsNotRun)
+{
+    this->request.service = core::ServiceName("unknown");
+    core::Result<balance::SlotGrant> result;
+    this->balancer.acquire(this->request, [&result](auto grant) { result = std::move(grant); });
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().reason, core::Reason::NoEndpoint);
+    EXPECT_EQ(result.error().verdict, core::Verdict::NotRun);
+}
+
+} // namespace damaskgate::upstreams
