mirror, gateway: a started host reads after 120 ms and says when it will be ready

Cause: after a kill of all processes hosts took 0.6 s to serve: 0.35 s to find the others, rounded up to two ticks; refusals meanwhile named no time. Change: the first tick comes after 120 ms; the refusal names 250 ms.

--- a/src/gateway/servingstate.cpp
+++ b/src/gateway/servingstate.cpp
@@ -2,6 +2,12 @@
 
 namespace damaskgate::gateway {
 
+namespace {
+
+constexpr std::chrono::milliseconds StartRetryAfter { 250 }; // a host that starts reads in less
+
+} // namespace
+
 ServingState::ServingState(const settings::ISettingsStore &store,
                            const upstreams::EndpointBook &book)
     : store(store), book(book)
@@ -10,7 +16,8 @@
 core::Result<void> ServingState::checkServing() const
 {
     if (!this->store.current() || !this->book.isFilled()) {
-        return core::notRun(core::Reason::SettingsStale, "no settings have been read yet");
+        return tl::unexpected(core::Error { core::Reason::SettingsStale, core::Verdict::NotRun,
+                                            "no settings have been read yet", StartRetryAfter });
     }
     return {};
 }
--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -73,7 +73,7 @@
     void onSourceReached();
     void onSourceFailed(const core::Error &error);
     void take(const Changes &changes, std::string_view from);
-    void scheduleTick();
+    void scheduleTick(std::chrono::milliseconds delay);
     void tick();
     std::vector<ReaderView> otherHosts(core::Instant now) const;
     void updateSettled(core::Instant now);
@@ -92,7 +92,6 @@
     boost::asio::steady_timer pauseTimer;
     std::optional<core::Instant> reachedAt;
     std::optional<core::Instant> settled;
-    core::Instant startedAt;
     core::Instant announcedAt;
     std::map<core::HostName, core::Instant> seenAtByHost; //!< when others reached the source
     core::HostName teller; //!< of the highest revision heard
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval { 250 };
-constexpr std::chrono::milliseconds StartGrace { 350 }; // to find the other hosts first
+constexpr std::chrono::milliseconds StartGrace { 120 }; // to find the other hosts first
 constexpr std::chrono::milliseconds WatchWait { 600 }; // bounds how old the contact may look
 constexpr std::chrono::milliseconds WatchPause { 40 }; // changes of that time come in one answer
 constexpr std::chrono::milliseconds RetryPause { 100 }; // after the first failure, doubled up to
@@ -46,8 +46,7 @@
 
 void MirrorService::start()
 {
-    this->startedAt = this->clock.now();
-    this->scheduleTick();
+    this->scheduleTick(StartGrace);
 }
 
 void MirrorService::stop()
@@ -78,13 +77,13 @@
     return encode(this->copy.changesSince(after));
 }
 
-void MirrorService::scheduleTick()
+void MirrorService::scheduleTick(std::chrono::milliseconds delay)
 {
-    this->tickTimer.expires_after(TickInterval);
+    this->tickTimer.expires_after(delay);
     this->tickTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error && !this->isStopped) {
             this->tick();
-            this->scheduleTick();
+            this->scheduleTick(TickInterval);
         }
     });
 }
@@ -100,9 +99,6 @@
         }
         return;
     }
-    if (now - this->startedAt < StartGrace) {
-        return;
-    }
     if (this->duty.shouldRead(this->otherHosts(now), now)) {
         this->isReading = true;
         this->events.record({ "source-reader-started", {} });
