upstreams: a floor of endpoints in use while many requests are not served

Change: above a tenth of unserved requests, refusals of all hosts included, each endpoint gets a request within 1.3 s, 2.8 s after a failure. Failed trials of suspects are not counted.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,6 +58,28 @@
     return names;
 }
 
+/** Tells of each finished request those that learn from it. */
+class RequestObservers final : public entry::IRequestObserver
+{
+public:
+    RequestObservers(requestlog::RequestRecorder &recorder, upstreams::FleetBalancer &balancer)
+        : recorder(recorder), balancer(balancer)
+    {}
+
+    void onRequestFinished(const entry::RequestRecord &record) override
+    {
+        this->recorder.onRequestFinished(record);
+        const bool isRefused = record.reason && record.attempts == 0 && !record.isCancelled;
+        if (isRefused && !record.service.isEmpty()) {
+            this->balancer.onRefused(record.service);
+        }
+    }
+
+private:
+    requestlog::RequestRecorder &recorder;
+    upstreams::FleetBalancer &balancer;
+};
+
 /** A look-up through HTTP fields is not offered here: callers use the look-up port. */
 class NoLookup final : public entry::ILookup
 {
@@ -120,6 +142,7 @@
     ServingState state;
     NoLookup noLookup;
     requestlog::RequestRecorder recorder;
+    RequestObservers observers;
     entry::EntryServer server;
     http::QueryServer lookupServer;
     http::QueryServer readinessServer;
@@ -151,9 +174,10 @@
       balancer(
           { this->clock, this->events, this->fleet, this->book, this->admission, this->retries }),
       state(this->live, this->book), recorder(this->registry, this->events),
+      observers(this->recorder, this->balancer),
       server(this->context,
              entry::EntryDependencies { this->clock, this->live, this->admission, this->balancer,
-                                        this->events, this->noLookup, this->recorder, &this->state,
+                                        this->events, this->noLookup, this->observers, &this->state,
                                         &this->retries },
              entryOptions(this->options, this->incarnation)),
       lookupServer(this->context,
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -36,6 +36,10 @@
 void EndpointBook::setServices(std::map<core::ServiceName, ServiceBounds> services)
 {
     this->services = std::move(services);
+    this->servicesByTag.clear();
+    for (const auto &[name, bounds] : this->services) {
+        this->servicesByTag.emplace(core::tagOf(name.text()), name);
+    }
 }
 
 void EndpointBook::setWithdrawnDomains(std::set<core::DomainName> domains)
@@ -79,7 +83,7 @@
     if (!isSameStart) {
         const EndpointBelief fresh(this->model.belief, now);
         this->entries.insert_or_assign(facts.endpoint.name,
-                                       Entry { facts, fresh, {}, {}, {}, {}, {} });
+                                       Entry { facts, fresh, {}, {}, {}, {}, {}, now });
     }
     Entry &entry = this->entries.at(facts.endpoint.name);
     entry.facts = facts;
@@ -100,6 +104,10 @@
     Entry *best = nullptr;
     double bestCost = 0;
     Entry *retrial = nullptr;
+    Entry *idle = nullptr;
+    const auto share = this->served.find(request.service);
+    const bool isFloorNeeded =
+        share != this->served.end() && share->second.unserved(now) > this->model.floorAbove;
     std::uniform_real_distribution<double> unit(0, 1);
     for (auto &[name, entry] : this->entries) {
         if (!this->isUsable(entry, request, now)) {
@@ -108,6 +116,10 @@
         if (this->isRetrialDue(entry, now)) {
             retrial = &entry;
         }
+        if (isFloorNeeded && this->isIdleTooLong(entry, now)
+            && (idle == nullptr || entry.usedAt < idle->usedAt)) {
+            idle = &entry;
+        }
         const double cost = this->costOf(entry, request, now) + TieSpread * unit(this->random);
         if (best == nullptr || cost < bestCost) {
             best = &entry;
@@ -117,9 +129,10 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    const bool isRetrial =
-        retrial != nullptr && best != retrial && unit(this->random) < this->model.retrialShare;
-    Entry &chosen = isRetrial ? *retrial : *best;
+    const bool isForFloor = idle != nullptr && unit(this->random) < this->model.floorPick;
+    const bool isRetrial = isForFloor
+        || (retrial != nullptr && best != retrial && unit(this->random) < this->model.retrialShare);
+    Entry &chosen = isForFloor ? *idle : isRetrial ? *retrial : *best;
     if (now < chosen.coldUntil && chosen.coldBucket) {
         chosen.coldBucket->tryTake(now);
     }
@@ -138,6 +151,7 @@
         return;
     }
     entry->running.push_back({ host, now });
+    entry->usedAt = now;
     if (entry->belief.badness(now) > this->model.suspectAbove) {
         entry->retriedAt = now;
     }
@@ -168,10 +182,26 @@
         entry->belief.onOutcome(true, ShedWeight, now);
         return;
     default:
-        entry->belief.onOutcome(isFailure(outcome), 1, now);
+        entry->hasFailedLast = isFailure(outcome);
+        // Failed trials of suspects do not ask for more trials.
+        if (!entry->hasFailedLast || entry->belief.badness(now) <= this->model.suspectAbove) {
+            this->served[entry->facts.service].count(!entry->hasFailedLast, now);
+        }
+        entry->belief.onOutcome(entry->hasFailedLast, 1, now);
     }
 }
 
+std::optional<core::ServiceName> EndpointBook::findService(std::uint32_t tag) const
+{
+    const auto found = this->servicesByTag.find(tag);
+    return found == this->servicesByTag.end() ? std::nullopt : std::optional(found->second);
+}
+
+void EndpointBook::onUnserved(const core::ServiceName &service, core::Instant now)
+{
+    this->served[service].count(false, now);
+}
+
 void EndpointBook::onLatency(const core::ServiceName &service, core::Duration latency)
 {
     const auto [found, isFirst] = this->latencies.emplace(service, latency);
@@ -222,6 +252,13 @@
     return now >= entry.coldUntil || !entry.coldBucket || entry.coldBucket->hasToken(now);
 }
 
+// While many requests are not served, suspects are a part of the capacity that must be in use.
+bool EndpointBook::isIdleTooLong(const Entry &entry, core::Instant now) const
+{
+    return now - entry.usedAt
+        > (entry.hasFailedLast ? this->model.floorRest : this->model.floorIdle);
+}
+
 bool EndpointBook::isRetrialDue(const Entry &entry, core::Instant now) const
 {
     const double badness = entry.belief.badness(now);
@@ -255,8 +292,8 @@
         return 0;
     }
     using Seconds = std::chrono::duration<double>;
-    const double part = Seconds(*usual).count() * (1 + rounds)
-        / Seconds(request.latencyObjective).count();
+    const double part =
+        Seconds(*usual).count() * (1 + rounds) / Seconds(request.latencyObjective).count();
     return LateCost * std::clamp((part - LateFrom) / (LateUntil - LateFrom), 0.0, 1.0);
 }
 
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -15,6 +15,7 @@
     Started = 1, //!< the first attempt of a request
     Repeated = 2, //!< a further attempt of a request
     Ended = 3, //!< amount is the outcome
+    Refused = 5, //!< a host refused a request; the subject is the service
     Redirected = 4, //!< a further attempt of a request that no endpoint has got yet
 };
 
@@ -76,6 +77,13 @@
                                        static_cast<std::uint16_t>(outcome), tag, 0, 0 });
 }
 
+void FleetBalancer::onRefused(const core::ServiceName &service)
+{
+    this->dependencies.book.onUnserved(service, this->dependencies.clock.now());
+    this->dependencies.notes.publish(
+        { static_cast<std::uint8_t>(NoteKind::Refused), 0, core::tagOf(service.text()), 0, 0 });
+}
+
 // A time-out says something of the endpoint only after much more than the service's usual time.
 balance::Outcome FleetBalancer::judge(const Held &attempt,
                                       const balance::ExchangeReport &report) const
@@ -118,6 +126,9 @@
     case NoteKind::Repeated:
         this->onRemoteStart(note, true);
         return;
+    case NoteKind::Refused:
+        this->onRemoteRefusal(note.subject);
+        return;
     case NoteKind::Redirected:
         this->dependencies.book.onStarted(note.subject, note.origin,
                                           this->dependencies.clock.now());
@@ -132,6 +143,14 @@
     }
 }
 
+void FleetBalancer::onRemoteRefusal(std::uint32_t serviceTag)
+{
+    const auto service = this->dependencies.book.findService(serviceTag);
+    if (service) {
+        this->dependencies.book.onUnserved(*service, this->dependencies.clock.now());
+    }
+}
+
 void FleetBalancer::onRemoteStart(const fleet::Note &note, bool isRetry)
 {
     this->dependencies.book.onStarted(note.subject, note.origin, this->dependencies.clock.now());
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -14,6 +14,7 @@
 #include "damaskgate/limits/sharedbucket.h"
 #include "damaskgate/settings/settingstypes.h"
 #include "damaskgate/upstreams/endpointbelief.h"
+#include "damaskgate/upstreams/servedshare.h"
 
 namespace damaskgate::upstreams {
 
@@ -45,6 +46,10 @@
     core::Duration retrialPause = std::chrono::seconds(5); //!< between two trials of a suspect
     double retrialShare = 0.06; //!< of the requests while a trial is due
     core::Duration lostAfter = std::chrono::seconds(8); //!< a start without an end is forgotten
+    double floorAbove = 0.1; //!< share of unserved requests from which every endpoint is used
+    core::Duration floorIdle = std::chrono::milliseconds(1300); //!< longest without a request then
+    core::Duration floorRest = std::chrono::milliseconds(2800); //!< the same after a failure
+    double floorPick = 0.3; //!< of the requests while an endpoint is idle too long
     double coldRateUsed = 0.8; //!< share of what a cold endpoint bears
     double coldBurst = 2; //!< requests
     double farCost = 0.06; //!< of crossing failure domains, in failed requests
@@ -95,6 +100,12 @@
     void onEnded(std::uint32_t tag, std::uint32_t host, balance::Outcome outcome,
                  core::Instant now);
 
+    /** @return the service that is called @p tag in notes, or nothing when it is not known. */
+    std::optional<core::ServiceName> findService(std::uint32_t tag) const;
+
+    /** Notes that a request to @p service was refused by some host. */
+    void onUnserved(const core::ServiceName &service, core::Instant now);
+
     /** Notes that the service took @p latency for a whole answer. */
     void onLatency(const core::ServiceName &service, core::Duration latency);
 
@@ -126,11 +137,14 @@
         core::Instant coldUntil;
         core::Instant fullUntil; //!< it has refused work lately
         std::optional<core::Instant> retriedAt;
+        core::Instant usedAt; //!< when a request was last sent to it
+        bool hasFailedLast = false; //!< the last outcome that is known
         bool isMisdirected = false; //!< another endpoint has its address
     };
 
     void put(const RegisteredEndpoint &facts, core::Instant now);
     bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
+    bool isIdleTooLong(const Entry &entry, core::Instant now) const;
     bool isRetrialDue(const Entry &entry, core::Instant now) const;
     double costOf(Entry &entry, const balance::WorkRequest &request, core::Instant now);
     double lateCost(const balance::WorkRequest &request, double rounds) const;
@@ -141,7 +155,9 @@
     core::DomainName domain;
     std::mt19937_64 random;
     std::map<core::ServiceName, ServiceBounds> services;
+    std::map<std::uint32_t, core::ServiceName> servicesByTag;
     std::map<core::ServiceName, core::Duration> latencies; //!< moving averages
+    std::map<core::ServiceName, ServedShare> served;
     std::set<core::DomainName> withdrawn;
     std::map<core::EndpointName, Entry> entries;
     std::map<std::uint32_t, core::EndpointName> namesByTag;
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -37,6 +37,9 @@
     void cancel(std::uint64_t requestId) override;
     void release(std::uint64_t grantId, const balance::ExchangeReport &report) override;
 
+    /** Notes that this host refused a request to @p service before any endpoint got it. */
+    void onRefused(const core::ServiceName &service);
+
 private:
     struct Held
     {
@@ -49,6 +52,7 @@
     balance::Outcome judge(const Held &attempt, const balance::ExchangeReport &report) const;
     void report(const Held &attempt, const balance::ExchangeReport &report);
     void onNote(const fleet::Note &note);
+    void onRemoteRefusal(std::uint32_t serviceTag);
     void onRemoteStart(const fleet::Note &note, bool isRetry);
 
     Dependencies dependencies;
