entry, upstreams: unusually late answers to work that may repeat are given up

Ruled out: a time limit for each service; routes of one service differ six times in their work. Both attempts at once: the retry budget is the scarcer thing. Change: a moving average of the time to an answer for each route; after three times that and 50 ms the attempt is broken off if another may follow in time, and counts as a time-out of the endpoint. Tests of these, of answers that are tried elsewhere, strays, signatures and statuses in entry.

--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -61,6 +61,7 @@
     core::Instant deadline;
     std::vector<core::EndpointName> excluded; //!< endpoints that already failed this request
     std::string traceId {}; //!< of the request, for logs
+    core::RouteName route {}; //!< empty when the requests of a service are all alike
     core::Duration latencyObjective {}; //!< zero: none
     bool isRetry = false; //!< an endpoint has got the request before
     bool isRepeatable = false; //!< may be tried at an endpoint that is likely to fail
@@ -72,6 +73,7 @@
     std::uint64_t id = 0;
     core::ServiceName service;
     settings::Endpoint endpoint;
+    core::Duration patience {}; //!< after which an answer is unusually late; zero: not known
 };
 
 } // namespace damaskgate::balance
--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -76,6 +76,11 @@
     co_return this->result;
 }
 
+bool Attempt::isWaiting() const
+{
+    return !this->isHeadRead && !this->isAborted;
+}
+
 void Attempt::abort()
 {
     this->isAborted = true;
@@ -309,6 +314,7 @@
 asio::awaitable<void> Attempt::handleAnswer()
 {
     const error_code ec = co_await this->readOwnAnswerHead();
+    this->isHeadRead = true;
     this->result.report.latency = this->context.now() - this->sentAt;
     if (ec) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
@@ -346,8 +352,8 @@
 {
     const bool isHeadOnly = this->plan.isHead;
     this->framing = chooseFraming(*this->parser, isHeadOnly, this->plan.callerVersion);
-    const bool isClosing = this->plan.isClosing || this->context.isLeaving || this->context.isDraining
-        || !this->body.isDone()
+    const bool isClosing = this->plan.isClosing || this->context.isLeaving
+        || this->context.isDraining || !this->body.isDone()
         || this->framing == AnswerFraming::UntilClose;
     std::string head = makeAnswerHead(*this->parser, this->framing, this->plan.traceId, isClosing,
                                       this->dialect());
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -60,6 +60,9 @@
     /** Forwards the request to @p endpoint and its answer to the caller. */
     asio::awaitable<AttemptResult> run(const settings::Endpoint &endpoint);
 
+    /** @return whether the request was sent and no answer has begun. */
+    bool isWaiting() const;
+
     /** Breaks the exchange off; run() returns soon. */
     void abort();
 
@@ -100,6 +103,7 @@
     OneShotPtr<bool> bodyEnd; //!< null while no body is streamed
     bool isAborted = false;
     bool isBodySent = false;
+    bool isHeadRead = false; //!< of the answer
     AttemptResult result;
 };
 
--- a/src/entry/dialect.cpp
+++ b/src/entry/dialect.cpp
@@ -60,8 +60,8 @@
 
 const Dialect &ownDialect()
 {
-    static const Dialect Own = makeOwnDialect();
-    return Own;
+    static const Dialect own = makeOwnDialect();
+    return own;
 }
 
 } // namespace damaskgate::entry
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -275,7 +275,7 @@
         this->grantedService = {};
         this->record.attempts = static_cast<std::uint32_t>(attempts);
         this->plan.isFailureDiscarded = this->plan.isRepeatable && this->mayRepeat(attempts);
-        AttemptResult result = co_await this->tryEndpoint(grant->endpoint);
+        AttemptResult result = co_await this->tryEndpoint(*grant);
         this->judgeEndpoint(result);
         slot.setReport(result.report);
         if (!result.error) {
@@ -310,6 +310,7 @@
     work.deadline = this->plan.deadline;
     work.excluded = this->failedEndpoints;
     work.traceId = this->record.traceId;
+    work.route = route.name;
     work.latencyObjective = route.latencyObjective;
     work.isRetry = isRetry;
     work.isRepeatable = route.isRepeatable;
@@ -363,7 +364,7 @@
         : core::notRun(core::Reason::SettingsStale, "the route changed while it waited");
 }
 
-asio::awaitable<AttemptResult> Exchange::tryEndpoint(const settings::Endpoint &endpoint)
+asio::awaitable<AttemptResult> Exchange::tryEndpoint(const balance::SlotGrant &grant)
 {
     const auto onBroken = [weak = this->weak_from_this()](AbortCause cause) {
         if (const auto self = weak.lock()) {
@@ -375,8 +376,23 @@
     this->onAbort = [attempt] {
         attempt->abort();
     };
-    AttemptResult result = co_await attempt->run(endpoint);
+    const auto isGivenUp = std::make_shared<bool>(false);
+    asio::steady_timer patience(this->context.ioContext);
+    if (this->mayGiveUp(grant)) {
+        patience.expires_after(grant.patience);
+        patience.async_wait([attempt, isGivenUp](const error_code &ec) {
+            if (!ec && attempt->isWaiting()) {
+                *isGivenUp = true;
+                attempt->abort();
+            }
+        });
+    }
+    AttemptResult result = co_await attempt->run(grant.endpoint);
+    patience.cancel();
     this->onAbort = nullptr;
+    if (*isGivenUp && result.error) {
+        result.report.outcome = balance::Outcome::Timeout;
+    }
     this->verdict = core::combine(this->verdict, result.verdict);
     this->upstreamStatus = result.status;
     this->isAnswerStarted = result.isAnswerStarted;
@@ -385,6 +401,14 @@
     co_return result;
 }
 
+// An answer that is unusually late may be given up while another endpoint can still answer in time.
+bool Exchange::mayGiveUp(const balance::SlotGrant &grant) const
+{
+    const core::Instant until = this->context.now() + grant.patience * 2;
+    return this->plan.isFailureDiscarded && grant.patience > core::Duration::zero()
+        && until < this->plan.deadline;
+}
+
 bool Exchange::mayRetry(const AttemptResult &result, std::size_t attempts)
 {
     if (result.error->reason == core::Reason::UpstreamUnreachable) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -46,7 +46,8 @@
     asio::awaitable<Step> forward();
     asio::awaitable<core::Result<balance::SlotGrant>> acquire(bool isRetry);
     Step checkAgain();
-    asio::awaitable<AttemptResult> tryEndpoint(const settings::Endpoint &endpoint);
+    asio::awaitable<AttemptResult> tryEndpoint(const balance::SlotGrant &grant);
+    bool mayGiveUp(const balance::SlotGrant &grant) const;
     bool mayRetry(const AttemptResult &result, std::size_t attempts);
     bool mayRepeat(std::size_t attempts) const;
     std::size_t maxAttempts() const;
--- a/src/entry/tests/fakes.h
+++ b/src/entry/tests/fakes.h
@@ -101,6 +101,7 @@
     std::vector<balance::ExchangeReport> reports;
     std::set<std::uint64_t> held;
     std::deque<std::pair<std::uint64_t, std::function<void()>>> waiting;
+    core::Duration patience {}; //!< of each grant
     bool isHolding = false;
     int cancelled = 0;
 
@@ -110,7 +111,8 @@
         for (const settings::Endpoint &endpoint : this->endpoints) {
             if (std::ranges::find(request.excluded, endpoint.name) == request.excluded.end()) {
                 this->held.insert(++this->lastId);
-                return balance::SlotGrant { this->lastId, request.service, endpoint };
+                return balance::SlotGrant { this->lastId, request.service, endpoint,
+                                            this->patience };
             }
         }
         return core::notRun(core::Reason::NoEndpoint, "no endpoint is left");
--- /dev/null
+++ b/src/entry/tests/retry_test.cpp
@@ -0,0 +1,195 @@
+#include "entryfixture.h"
+
+using namespace damaskgate;
+using namespace damaskgate::entry;
+using balance::Outcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view OkAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr std::string_view ErrorAnswer =
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\nbad";
+
+} // namespace
+
+class RetryFixture : public EntryFixture
+{
+protected:
+    /** Takes a request at @p endpoint and answers it. */
+    static RawPeer answer(RawEndpoint &endpoint, std::string_view reply)
+    {
+        RawPeer upstream = endpoint.accept();
+        upstream.readRequestHead();
+        upstream.send(reply);
+        return upstream;
+    }
+
+    bool hasReports(std::size_t count)
+    {
+        return this->eventually([this, count] { return this->balancer.reports.size() == count; });
+    }
+};
+
+using Retry_Tests = RetryFixture;
+
+TEST_F(Retry_Tests, ServerError_WorkThatMayRepeat_IsTriedElsewhere)
+{
+    // [GIVEN] A first endpoint in a bad spell
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer failing = answer(this->first, ErrorAnswer);
+    RawPeer sound = answer(this->second, OkAnswer);
+
+    // [THEN] The caller gets the answer of the second, and the first is reported
+    EXPECT_EQ(caller.readAnswer().body, "ok");
+    ASSERT_TRUE(this->hasReports(2));
+    EXPECT_EQ(this->balancer.reports[0].outcome, Outcome::ServerError);
+}
+
+TEST_F(Retry_Tests, ServerError_WorkThatMayNotRepeat_IsDelivered)
+{
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer failing = answer(this->first, ErrorAnswer);
+    const WireMessage delivered = caller.readAnswer();
+    EXPECT_EQ(delivered.status(), 500);
+    EXPECT_EQ(delivered.body, "bad");
+    EXPECT_FALSE(this->second.hasPending());
+}
+
+TEST_F(Retry_Tests, ServerError_LastAttempt_IsDelivered)
+{
+    // [GIVEN] A route that allows one endpoint for each request
+    auto settings = makeSettings();
+    settings->routes.at(core::RouteName("read")).maxAttempts = 1;
+    this->store.replace(settings);
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer failing = answer(this->first, ErrorAnswer);
+
+    // [THEN] The endpoint's own answer is not replaced
+    EXPECT_EQ(caller.readAnswer().body, "bad");
+    EXPECT_FALSE(this->second.hasPending());
+}
+
+TEST_F(Retry_Tests, LateAnswer_WorkThatMayRepeat_IsGivenUpForAnotherEndpoint)
+{
+    // [GIVEN] An endpoint that hangs, where answers usually come within some milliseconds
+    this->balancer.patience = milliseconds(50);
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer hanging = this->first.accept();
+    hanging.readRequestHead();
+    RawPeer sound = answer(this->second, OkAnswer);
+
+    // [THEN] Another one answers, the first is told by the closed connection, and it is reported
+    EXPECT_EQ(caller.readAnswer().body, "ok");
+    EXPECT_TRUE(hanging.isClosedByPeer());
+    ASSERT_TRUE(this->hasReports(2));
+    EXPECT_EQ(this->balancer.reports[0].outcome, Outcome::Timeout);
+}
+
+TEST_F(Retry_Tests, LateAnswer_WorkThatMayNotRepeat_IsWaitedFor)
+{
+    // [GIVEN] The same, for a booking
+    this->balancer.patience = milliseconds(50);
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer late = this->first.accept();
+    late.readRequestHead();
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_FALSE(this->second.hasPending());
+    late.send(OkAnswer);
+
+    // [THEN] Its answer is delivered
+    EXPECT_EQ(caller.readAnswer().body, "ok");
+}
+
+TEST_F(Retry_Tests, StrayAnswer_BeforeTheOwnOne_IsDiscarded)
+{
+    // [GIVEN] An answer to another exchange in front of the own one
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer upstream = this->first.accept();
+    const std::string own = upstream.readRequestHead().field("Damaskgate-Exchange");
+    upstream.send("HTTP/1.1 200 OK\r\nDamaskgate-Exchange: 999\r\nContent-Length: 5\r\n\r\nother");
+    upstream.send("HTTP/1.1 200 OK\r\nDamaskgate-Exchange: " + own
+                  + "\r\nContent-Length: 2\r\n\r\nok");
+
+    // [THEN] The caller gets its own
+    EXPECT_EQ(caller.readAnswer().body, "ok");
+}
+
+TEST_F(Retry_Tests, Signature_MissingOnASuccess_IsNoAnswer)
+{
+    // [GIVEN] A dialect in which endpoints sign their successes
+    this->options.dialect.signatureField = "Endpoint-Signature";
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer upstream = answer(this->first, OkAnswer);
+
+    // [THEN] An unsigned one is not passed on as a success
+    EXPECT_EQ(caller.readAnswer().status(), 502);
+}
+
+TEST_F(Retry_Tests, StatusVerdict_NothingReached_IsUnavailable)
+{
+    // [GIVEN] A dialect in which the status alone tells that a request has not run
+    this->options.dialect.isStatusVerdict = true;
+    this->first.close();
+    this->second.close();
+    this->start();
+
+    // [THEN] Work that reached no endpoint may safely be sent again by its caller
+    RawPeer caller = this->sendNew("POST /book/1");
+    const WireMessage refusal = caller.readAnswer();
+    EXPECT_EQ(refusal.status(), 503);
+    EXPECT_EQ(refusal.field("Damaskgate-Verdict"), "not-run");
+}
+
+TEST_F(Retry_Tests, StatusVerdict_MayHaveRun_PromisesNothing)
+{
+    // [GIVEN] The same dialect, and an endpoint that breaks off
+    this->options.dialect.isStatusVerdict = true;
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    {
+        RawPeer upstream = this->first.accept();
+        upstream.readRequestHead();
+    }
+
+    // [THEN] The status is not one of those that promise
+    EXPECT_EQ(caller.readAnswer().status(), 502);
+}
+
+TEST_F(Retry_Tests, Leaving_AnswersEndTheirConnections)
+{
+    this->start();
+    this->call([this] { this->server->leave(); });
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer upstream = answer(this->first, OkAnswer);
+    const WireMessage delivered = caller.readAnswer();
+    EXPECT_EQ(delivered.body, "ok");
+    EXPECT_EQ(delivered.field("Connection"), "close");
+}
+
+TEST_F(Retry_Tests, AbsoluteForm_AuthorityGoesBeforeTheHostField)
+{
+    // [GIVEN] Routes of one name only
+    auto settings = makeSettings();
+    settings->routes.at(core::RouteName("open")).host = "other.example";
+    this->store.replace(settings);
+    this->start();
+
+    // [WHEN] The target names that host and the field another
+    RawPeer caller = this->connect();
+    caller.send("GET http://Other.example:80/open/1 HTTP/1.1\r\nHost: hall\r\n\r\n");
+    RawPeer upstream = answer(this->first, OkAnswer);
+
+    // [THEN] The target decides, and without it the route is not found
+    EXPECT_EQ(caller.readAnswer().body, "ok");
+    RawPeer other = this->connect();
+    other.send("GET /open/1 HTTP/1.1\r\nHost: hall\r\n\r\n");
+    EXPECT_EQ(other.readAnswer().status(), 404);
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,7 +100,7 @@
 class Gateway::Impl
 {
 public:
-    Impl(GatewayOptions options, const PublicationFactory &makePublication);
+    Impl(GatewayOptions given, const PublicationFactory &makePublication);
 
     int run();
 
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -18,6 +18,7 @@
 constexpr double TieSpread = 0.06; // hosts that choose at the same time spread over equal ones
 constexpr core::Duration FullFor = std::chrono::milliseconds(300);
 constexpr int LatencyMemory = 16; // answers that the moving average spans
+constexpr int LatencyPrior = 2; // answers that the first guess counts for
 constexpr double ShedWeight = 0.3; // a refusal of work is a hint of a bad spell only
 
 bool isFailure(balance::Outcome outcome)
@@ -202,18 +203,23 @@
     this->served[service].count(false, now);
 }
 
-void EndpointBook::onLatency(const core::ServiceName &service, core::Duration latency)
+void EndpointBook::onLatency(const balance::WorkRequest &request, core::Duration latency)
 {
-    const auto [found, isFirst] = this->latencies.emplace(service, latency);
-    if (!isFirst) {
-        found->second += (latency - found->second) / LatencyMemory;
-    }
+    const core::Duration before = this->usualLatency(request).value_or(latency);
+    UsualLatency &usual = this->latencies[{ request.service, request.route }];
+    usual.answers = std::min(usual.answers + 1, LatencyMemory);
+    usual.average = before + (latency - before) / (usual.answers + LatencyPrior);
 }
 
-std::optional<core::Duration> EndpointBook::usualLatency(const core::ServiceName &service) const
+std::optional<core::Duration> EndpointBook::usualLatency(const balance::WorkRequest &request) const
 {
-    const auto found = this->latencies.find(service);
-    return found == this->latencies.end() ? std::nullopt : std::optional(found->second);
+    const auto found = this->latencies.find({ request.service, request.route });
+    if (found != this->latencies.end()) {
+        return found->second.average;
+    }
+    return request.latencyObjective > core::Duration::zero()
+        ? std::optional(request.latencyObjective / 2)
+        : std::nullopt;
 }
 
 bool EndpointBook::isFilled() const
@@ -287,7 +293,7 @@
 // What it costs that an answer comes late, after waiting for so many rounds of the usual time.
 double EndpointBook::lateCost(const balance::WorkRequest &request, double rounds) const
 {
-    const auto usual = this->usualLatency(request.service);
+    const auto usual = this->usualLatency(request);
     if (!usual || request.latencyObjective <= core::Duration::zero()) {
         return 0;
     }
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -19,7 +19,8 @@
     Redirected = 4, //!< a further attempt of a request that no endpoint has got yet
 };
 
-constexpr int LateFactor = 3; // times the service's usual time
+constexpr int LateFactor = 3; // times the usual time
+constexpr std::chrono::milliseconds LateMargin { 50 }; // beyond it
 constexpr std::uint32_t PlainAttemptsPerLine = 16;
 constexpr std::uint16_t LastOutcome = static_cast<std::uint16_t>(balance::Outcome::Cancelled);
 
@@ -42,8 +43,11 @@
     }
     const std::uint32_t tag = core::tagOf(choice->grant.endpoint.name.text());
     choice->grant.id = ++this->lastGrant;
+    if (const auto usual = this->dependencies.book.usualLatency(request)) {
+        choice->grant.patience = *usual * LateFactor + LateMargin;
+    }
     const std::uint64_t id = choice->grant.id;
-    this->held.emplace(id, Held { tag, request.traceId, *choice, request.excluded.size() });
+    this->held.emplace(id, Held { tag, request, *choice });
     this->dependencies.book.onStarted(tag, 0, now);
     const bool isFurther = !request.excluded.empty();
     const std::uint32_t account =
@@ -69,7 +73,7 @@
     const std::uint32_t tag = attempt.tag;
     this->report(attempt, report);
     if (report.outcome == balance::Outcome::Answered) {
-        this->dependencies.book.onLatency(attempt.choice.grant.service, report.latency);
+        this->dependencies.book.onLatency(attempt.request, report.latency);
     }
     const balance::Outcome outcome = this->judge(attempt, report);
     this->dependencies.book.onEnded(tag, 0, outcome, this->dependencies.clock.now());
@@ -91,7 +95,7 @@
     if (report.outcome != balance::Outcome::Timeout) {
         return report.outcome;
     }
-    const auto usual = this->dependencies.book.usualLatency(attempt.choice.grant.service);
+    const auto usual = this->dependencies.book.usualLatency(attempt.request);
     return usual && report.latency > *usual * LateFactor ? balance::Outcome::Timeout
                                                          : balance::Outcome::Cancelled;
 }
@@ -99,18 +103,19 @@
 // Attempts that end well are sampled by the trace, so that all hosts keep the same ones.
 void FleetBalancer::report(const Held &attempt, const balance::ExchangeReport &report)
 {
-    const bool isPlain = report.outcome == balance::Outcome::Answered && attempt.excluded == 0;
-    if (isPlain && core::tagOf(attempt.traceId) % PlainAttemptsPerLine != 0) {
+    const bool isPlain =
+        report.outcome == balance::Outcome::Answered && attempt.request.excluded.empty();
+    if (isPlain && core::tagOf(attempt.request.traceId) % PlainAttemptsPerLine != 0) {
         return;
     }
     const auto latency = std::chrono::duration_cast<std::chrono::milliseconds>(report.latency);
     this->dependencies.events.record({ "attempt-ended",
-                                       { { "trace", attempt.traceId },
+                                       { { "trace", attempt.request.traceId },
                                          { "service", attempt.choice.grant.service.text() },
                                          { "endpoint", attempt.choice.grant.endpoint.name.text() },
                                          { "outcome", balance::toText(report.outcome) },
                                          { "first_byte_ms", latency.count() },
-                                         { "attempt", attempt.excluded + 1 },
+                                         { "attempt", attempt.request.excluded.size() + 1 },
                                          { "badness", attempt.choice.badness },
                                          { "evidence_age_ms", attempt.choice.evidenceAge.count() },
                                          { "in_flight", attempt.choice.inFlight },
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "damaskgate/balance/balancetypes.h"
@@ -106,11 +107,14 @@
     /** Notes that a request to @p service was refused by some host. */
     void onUnserved(const core::ServiceName &service, core::Instant now);
 
-    /** Notes that the service took @p latency for a whole answer. */
-    void onLatency(const core::ServiceName &service, core::Duration latency);
+    /** Notes that an answer to a request like @p request took @p latency. */
+    void onLatency(const balance::WorkRequest &request, core::Duration latency);
 
-    /** @return the usual time of the service to its answers; nothing before the first ones. */
-    std::optional<core::Duration> usualLatency(const core::ServiceName &service) const;
+    /**
+     * @return the usual time to the answers to requests like @p request; half of their objective
+     *         before the first ones, nothing when they have none
+     */
+    std::optional<core::Duration> usualLatency(const balance::WorkRequest &request) const;
 
     /** @return whether the list of endpoints was given at least once. */
     bool isFilled() const;
@@ -122,6 +126,12 @@
     std::optional<core::ServiceName> serviceOf(std::uint32_t tag) const;
 
 private:
+    struct UsualLatency
+    {
+        core::Duration average {};
+        int answers = 0;
+    };
+
     struct Start
     {
         std::uint32_t host = 0;
@@ -156,7 +166,7 @@
     std::mt19937_64 random;
     std::map<core::ServiceName, ServiceBounds> services;
     std::map<std::uint32_t, core::ServiceName> servicesByTag;
-    std::map<core::ServiceName, core::Duration> latencies; //!< moving averages
+    std::map<std::pair<core::ServiceName, core::RouteName>, UsualLatency> latencies;
     std::map<core::ServiceName, ServedShare> served;
     std::set<core::DomainName> withdrawn;
     std::map<core::EndpointName, Entry> entries;
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -44,9 +44,8 @@
     struct Held
     {
         std::uint32_t tag = 0; //!< of the endpoint
-        std::string traceId;
+        balance::WorkRequest request;
         Choice choice;
-        std::size_t excluded = 0; //!< endpoints that failed the request before
     };
 
     balance::Outcome judge(const Held &attempt, const balance::ExchangeReport &report) const;
--- a/src/upstreams/tests/endpointbook_test.cpp
+++ b/src/upstreams/tests/endpointbook_test.cpp
@@ -228,8 +228,10 @@
 TEST_F(EndpointBook_Tests, Choose_ShortQueue_GoesBeforeAKnownBadEndpoint)
 {
     // [GIVEN] A service with a usual time of 0.5 s and an objective of 1.5 s
-    this->book.onLatency(this->request.service, milliseconds(500));
     this->request.latencyObjective = milliseconds(1500);
+    for (int i = 0; i < 20; ++i) {
+        this->book.onLatency(this->request, milliseconds(500));
+    }
     this->list({ endpoint("a"), endpoint("b") });
     for (int i = 0; i < 5; ++i) {
         this->end("a", balance::Outcome::ServerError);
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -127,7 +127,7 @@
 TEST_F(FleetBalancer_Tests, Release_TimeOutWithinTheUsualTime_IsNoEvidence)
 {
     // [GIVEN] A service that usually takes a second
-    this->book.onLatency(this->request.service, std::chrono::seconds(1));
+    this->book.onLatency(this->request, std::chrono::seconds(1));
     const double before = *this->book.badnessOf(core::EndpointName("a"), this->clock.now());
 
     // [WHEN] A request with a short limit is given up
