--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -63,7 +63,7 @@
     /** @return near hosts that are due for a message, and lost ones that are tried again. */
     std::vector<core::HostName> dueHosts(core::Instant now) const;
 
-    /** Drops hosts that have been silent for long. @return whether any live host was lost */
+    /** Drops hosts that have been silent for long. @return whether any was dropped */
     bool expire(core::Instant now);
 
     /** @return whether @p name was heard of within the time allowed. */
--- a/src/limits/sharedadmission.cpp
+++ b/src/limits/sharedadmission.cpp
@@ -22,7 +22,7 @@
                           workspace.ratePerSecond > 0 };
         account.bucket.resize(size, now);
         account.bucket.setShare(this->share, now);
-        next.emplace(name, std::move(account));
+        next.emplace(name, account);
         this->namesByTag.emplace(core::tagOf(name.text()), name);
     }
     this->accounts = std::move(next);
