--- a/src/daemon/controlplane.cpp
+++ b/src/daemon/controlplane.cpp
@@ -19,7 +19,7 @@
 }
 
 publication::PlatformReaderOptions readerOptions(const settings::HostSettings &host,
-                                              std::uint64_t incarnation)
+                                                 std::uint64_t incarnation)
 {
     publication::PlatformReaderOptions options;
     options.replicas = host.platform;
--- a/src/daemon/controlplane.h
+++ b/src/daemon/controlplane.h
@@ -27,7 +27,8 @@
 namespace damaskgate::daemon {
 
 /** Settings, membership and leases of this host, on the control thread. */
-class ControlPlane final : public publication::IHostListListener, public publication::IPlatformListener
+class ControlPlane final : public publication::IHostListListener,
+                           public publication::IPlatformListener
 {
 public:
     struct Dependencies
--- a/src/http/queryserver.cpp
+++ b/src/http/queryserver.cpp
@@ -72,9 +72,8 @@
         this->parser->body_limit(BodyLimit);
         this->stream.expires_after(IdleTimeout);
         beast::http::async_read(this->stream, this->buffer, *this->parser,
-                         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                             self->onRead(error);
-                         });
+                                [self = this->shared_from_this()](
+                                    beast::error_code error, std::size_t) { self->onRead(error); });
     }
 
     void close()
@@ -90,10 +89,11 @@
             return;
         }
         this->response = this->server->answer(this->parser->get());
-        beast::http::async_write(this->stream, this->response,
-                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                              self->onWritten(error);
-                          });
+        beast::http::async_write(
+            this->stream, this->response,
+            [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                self->onWritten(error);
+            });
     }
 
     void onWritten(beast::error_code error)
@@ -119,7 +119,7 @@
 };
 
 core::Result<std::uint16_t> QueryServer::Impl::listen(const std::string &address,
-                                                         std::uint16_t port)
+                                                      std::uint16_t port)
 {
     beast::error_code error;
     const tcp::endpoint endpoint(asio::ip::make_address(address, error), port);
--- a/src/limits/sharedadmission.cpp
+++ b/src/limits/sharedadmission.cpp
@@ -63,8 +63,7 @@
     }
     core::Error error { core::Reason::RateLimited, core::Verdict::NotRun,
                         "over the rate and burst of the workspace", std::nullopt };
-    error.retryAfter =
-        std::chrono::ceil<std::chrono::milliseconds>(account.bucket.untilToken(now));
+    error.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(account.bucket.untilToken(now));
     done(tl::unexpected(std::move(error)));
 }
 
--- a/src/limits/sharedbucket.cpp
+++ b/src/limits/sharedbucket.cpp
@@ -18,7 +18,8 @@
 void SharedBucket::resize(BucketSize size, core::Instant now)
 {
     this->refill(now);
-    this->tokens = std::min(this->tokens + std::max(size.burst - this->size.burst, 0.0), size.burst);
+    this->tokens =
+        std::min(this->tokens + std::max(size.burst - this->size.burst, 0.0), size.burst);
     this->size = size;
 }
 
--- a/src/routing/include/damaskgate/routing/routeindex.h
+++ b/src/routing/include/damaskgate/routing/routeindex.h
@@ -29,8 +29,7 @@
      *        routes go before those of any host
      * @return the route, which lives as long as the index, or RouteUnknown
      */
-    core::Result<const settings::Route *> findRoute(std::string_view path,
-                                                    std::string_view method,
+    core::Result<const settings::Route *> findRoute(std::string_view path, std::string_view method,
                                                     std::string_view host = {}) const;
 
     /** @return the workspace that @p key is in force for, or KeyMissing or KeyUnknown. */
