--- a/src/upstreams/include/damaskgate/upstreams/endpointbelief.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbelief.h
@@ -6,7 +6,7 @@
 
 namespace damaskgate::upstreams {
 
-/** Rates and chances that an EndpointBelief reckons with. */
+/** Rates and chances that an EndpointBelief reckons with; from the attempt logs of a calm day. */
 struct BeliefModel
 {
     core::Duration soundSpell = std::chrono::seconds(22); //!< mean time between two bad spells
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -38,7 +38,7 @@
     double coldRatePerSecond = 0; //!< requests to one cold endpoint, over all hosts; zero: no bound
 };
 
-/** How an endpoint is chosen. */
+/** How an endpoint is chosen; the figures are those of docs/design/08-users-platform.md. */
 struct ChoiceModel
 {
     BeliefModel belief;
