entry, fleet, gateway: what may repeat by any method, restarts with a clock set back, more descriptors kept

Cause, from reading the change: a failed POST on a repeatable route was discarded and not tried again; a repeat could go out after its route had become one that may not repeat; a host whose clock was set back before its process started again was ignored for two minutes; callers could take all descriptors; headers above 16 KB were refused whatever the operators' limit. Change: those, each with a test but for the two limits. One expectation of the new tests was wrong (a request that an endpoint answered 'ran', rather than 'may have run') and was replaced by the stricter one.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -274,7 +274,7 @@
         }
         this->grantedService = {};
         this->record.attempts = static_cast<std::uint32_t>(attempts);
-        this->plan.isFailureDiscarded = this->plan.isRepeatable && this->mayRepeat(attempts);
+        this->plan.isFailureDiscarded = this->isRepeatable() && this->mayRepeat(attempts);
         AttemptResult result = co_await this->tryEndpoint(*grant);
         this->judgeEndpoint(result);
         slot.setReport(result.report);
@@ -354,6 +354,10 @@
     if (this->permission.workspace != former.workspace) {
         return core::notRun(core::Reason::KeyUnknown, "the key changed hands while it waited");
     }
+    if (this->verdict != core::Verdict::NotRun && !this->isRepeatable()) {
+        return core::mayHaveRun(core::Reason::SettingsStale,
+                                "the route no longer allows it to be repeated");
+    }
     if (isServedBy(*this->permission.route, formerService)) {
         this->service = formerService;
         this->record.service = formerService;
@@ -418,16 +422,21 @@
     if (result.isAnswerStarted || !this->mayRepeat(attempts)) {
         return false;
     }
-    const bool isRepeatable =
-        this->permission.route->isRepeatable && isIdempotent(this->parser.get().method());
     const Dialect &dialect = this->context.options.dialect;
     const bool isShedSafely = result.error->reason == core::Reason::UpstreamShed
         && (this->permission.route->isRepeatable || this->operation || dialect.isShedFinal);
     const bool isSafe =
-        result.error->verdict == core::Verdict::NotRun ? isShedSafely : isRepeatable;
+        result.error->verdict == core::Verdict::NotRun ? isShedSafely : this->isRepeatable();
     return isSafe && this->context.retries().tryTake(this->service);
 }
 
+bool Exchange::isRepeatable() const
+{
+    const settings::Route &route = *this->permission.route;
+    return route.isRepeatable
+        && (route.isRepeatableByAnyMethod || isIdempotent(this->parser.get().method()));
+}
+
 bool Exchange::mayRepeat(std::size_t attempts) const
 {
     return this->body.isReplayable() && attempts < this->maxAttempts()
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -49,6 +49,7 @@
     asio::awaitable<AttemptResult> tryEndpoint(const balance::SlotGrant &grant);
     bool mayGiveUp(const balance::SlotGrant &grant) const;
     bool mayRetry(const AttemptResult &result, std::size_t attempts);
+    bool isRepeatable() const;
     bool mayRepeat(std::size_t attempts) const;
     std::size_t maxAttempts() const;
     void startDeadline();
--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -73,6 +73,47 @@
     EXPECT_FALSE(this->second.hasPending());
 }
 
+TEST_F(Retry_Tests, ServerError_MethodThatIsNotIdempotent_IsDeliveredUnlessTheRouteSaysSo)
+{
+    // [GIVEN] A repeatable route and a POST
+    this->start();
+    {
+        RawPeer caller = this->sendNew("POST /read/1");
+        RawPeer failing = answer(this->first, ErrorAnswer);
+
+        // [THEN] The endpoint's answer is delivered
+        EXPECT_EQ(caller.readAnswer().body, "bad");
+    }
+
+    // [WHEN] The route is repeatable whatever the method
+    auto settings = makeSettings();
+    settings->routes.at(core::RouteName("read")).isRepeatableByAnyMethod = true;
+    this->call([this, settings] { this->store.replace(settings); });
+    RawPeer caller = this->sendNew("POST /read/1");
+    RawPeer failing = answer(this->first, ErrorAnswer);
+    RawPeer sound = answer(this->second, OkAnswer);
+
+    // [THEN] It is tried elsewhere
+    EXPECT_EQ(caller.readAnswer().body, "ok");
+}
+
+TEST_F(Retry_Tests, ServerError_RouteNoLongerRepeatable_IsNotSentAgain)
+{
+    // [GIVEN] A request that fails while the route is about to change
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer failing = this->first.accept();
+    failing.readRequestHead();
+    auto settings = makeSettings();
+    settings->routes.at(core::RouteName("read")).isRepeatable = false;
+    this->call([this, settings] { this->store.replace(settings); });
+    failing.send(ErrorAnswer);
+
+    // [THEN] No second endpoint gets it, and the refusal tells that it ran
+    EXPECT_EQ(caller.readAnswer().field("Damaskgate-Verdict"), "ran");
+    EXPECT_FALSE(this->second.hasPending());
+}
+
 TEST_F(Retry_Tests, LateAnswer_WorkThatMayRepeat_IsGivenUpForAnotherEndpoint)
 {
     // [GIVEN] An endpoint that hangs, where answers usually come within some milliseconds
--- a/src/fleet/fleettable.cpp
+++ b/src/fleet/fleettable.cpp
@@ -18,7 +18,9 @@
         return false;
     }
     Entry &entry = this->entries[from];
-    if (entry.isHeard && incarnation < entry.member.incarnation) {
+    // The number of a process follows the wall clock, which may have gone back meanwhile.
+    const bool isRecent = now - entry.member.heardAt <= this->pace.formerProcess;
+    if (entry.isHeard && incarnation < entry.member.incarnation && isRecent) {
         return false;
     }
     const bool isChanged = !this->isEntryLive(entry, now) || entry.member.incarnation != incarnation
--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -17,6 +17,7 @@
 {
     core::Duration beatNear = std::chrono::milliseconds(1000); //!< within a failure domain
     core::Duration lostAfter = std::chrono::milliseconds(4000); //!< of silence
+    core::Duration formerProcess = std::chrono::milliseconds(300); //!< its messages may still come
     core::Duration probeLost = std::chrono::milliseconds(2000); //!< between tries of lost hosts
     core::Duration hubAnswer = std::chrono::milliseconds(500); //!< until a silent hub is replaced
     core::Duration hubRest = std::chrono::seconds(2); //!< before a replaced hub is taken again
--- a/src/fleet/tests/fleettable_test.cpp
+++ b/src/fleet/tests/fleettable_test.cpp
@@ -70,6 +70,19 @@
     EXPECT_FALSE(this->table.liveMembers(this->now).front()->state.isLeaving);
 }
 
+TEST_F(FleetTable_Tests, OnHeard_RestartAfterTheClockWentBack_IsLive)
+{
+    // [GIVEN] A host whose process was numbered while its clock was ahead
+    this->table.onHeard(host(1, 1), 9, stateOf("north"), this->now);
+
+    // [WHEN] It starts again, with the clock set back
+    const core::Instant later = this->now + milliseconds(600);
+    EXPECT_TRUE(this->table.onHeard(host(1, 1), 2, stateOf("north"), later));
+
+    // [THEN] It counts as live from then on
+    EXPECT_TRUE(this->table.isLive(host(1, 1), later + this->pace.lostAfter));
+}
+
 TEST_F(FleetTable_Tests, DueHosts_LiveFarHost_IsNotBeaten)
 {
     // [GIVEN] Hosts of two domains
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,6 +30,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds ConnectTimeout { 400 }; // to an endpoint, in its own region
+constexpr std::size_t MaxHeaderBytes = 65536; // above the limits that operators set today (16 KB)
 constexpr std::chrono::milliseconds MaintainInterval { 500 };
 constexpr std::chrono::milliseconds SettleTime { 2200 }; // registrations return within 2 s
 constexpr std::chrono::seconds ShareWindow { 10 }; // a silent host counts as alive for that long
@@ -47,6 +48,8 @@
     result.incarnation = incarnation;
     result.fleetSecret = options.fleetSecret;
     result.connectTimeout = ConnectTimeout;
+    result.maxConnections = options.maxConnections;
+    result.maxHeaderBytes = MaxHeaderBytes;
     return result;
 }
 
--- a/src/settings/include/damaskgate/settings/settingstypes.h
+++ b/src/settings/include/damaskgate/settings/settingstypes.h
@@ -72,6 +72,7 @@
     std::vector<core::WorkspaceName> workspaces; //!< that may use the route; empty: all
     bool isOpen = false; //!< needs no key
     bool isRepeatable = true; //!< may be sent to an upstream more than once
+    bool isRepeatableByAnyMethod = false; //!< else only with methods that are idempotent
     bool isDeferrable = false; //!< gives way while the service is busy
     core::Duration timeout {}; //!< for the whole exchange
     core::Duration latencyObjective {}; //!< zero: none
