--- a/src/fleet/tests/fleettable_test.cpp
+++ b/src/fleet/tests/fleettable_test.cpp
@@ -7,7 +7,6 @@
 
 using std::chrono::milliseconds;
 using testing::ElementsAre;
-using testing::IsEmpty;
 using testing::SizeIs;
 
 class FleetTable_Tests : public testing::Test
--- a/src/limits/tests/sharedadmission_test.cpp
+++ b/src/limits/tests/sharedadmission_test.cpp
@@ -93,12 +93,13 @@
     {
         const std::size_t host =
             std::uniform_int_distribution<std::size_t>(0, this->hosts.size() - 1)(this->random);
-        this->hosts[host]->admit(Halls, this->clock.now(), [this, host](core::Result<void> result) {
-            if (result) {
-                this->admitted.push_back(this->clock.now());
-                this->notes.push_back({ this->clock.now() + NoteDelay, host });
-            }
-        });
+        this->hosts[host]->admit(
+            Halls, this->clock.now(), [this, host](const core::Result<void> &result) {
+                if (result) {
+                    this->admitted.push_back(this->clock.now());
+                    this->notes.push_back({ this->clock.now() + NoteDelay, host });
+                }
+            });
     }
 
     void deliverNotes()
@@ -179,8 +180,9 @@
     // [THEN] A thousand at once are let in
     int admitted = 0;
     for (int i = 0; i < 1000; ++i) {
-        admission.admit(Halls, clock.now(),
-                        [&admitted](core::Result<void> result) { admitted += result ? 1 : 0; });
+        admission.admit(Halls, clock.now(), [&admitted](const core::Result<void> &result) {
+            admitted += result ? 1 : 0;
+        });
     }
     EXPECT_EQ(admitted, 1000);
 }
@@ -193,7 +195,8 @@
     admission.applySettings(settingsWith(4, 1));
     core::Result<void> last;
     for (int i = 0; i < 2; ++i) {
-        admission.admit(Halls, clock.now(), [&last](core::Result<void> result) { last = result; });
+        admission.admit(Halls, clock.now(),
+                        [&last](const core::Result<void> &result) { last = result; });
     }
 
     // [THEN] The refusal has not run and names the time to the next token
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -276,7 +276,7 @@
 double EndpointBook::costOf(Entry &entry, const balance::WorkRequest &request, core::Instant now)
 {
     this->forgetLostStarts(entry, now);
-    const double running = static_cast<double>(entry.running.size());
+    const auto running = static_cast<double>(entry.running.size());
     const double slots = std::max<double>(entry.facts.slots, 1);
     const double rounds = std::max(running + 1 - slots, 0.0) / slots;
     double cost = entry.belief.failureChance(now) + BusyCost * std::min(running / slots, 1.0)
