upstreams: few hosts share a cold endpoint, idle endpoints are picked at random

Cause: hosts of a large fleet choose before they hear what the others chose.

Change: six hosts by rendezvous rank may use a cold endpoint, each within a sixth of its rate, so that the bound holds without any message. The idle endpoint is drawn among all idle ones, and the share of requests spent on them follows how many are idle.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -338,6 +338,13 @@
     const double share = this->fleet.table().heardShare(ShareWindow, this->clock.now());
     this->admission.setShare(share);
     this->retries.setShare(share);
+    std::vector<core::HostName> serving;
+    for (const fleet::Member *member : this->fleet.table().liveMembers(this->clock.now())) {
+        if (member->state.isServing && !member->state.isLeaving) {
+            serving.push_back(member->name);
+        }
+    }
+    this->book.setHosts(this->peerName, serving, this->clock.now());
 }
 
 bool Gateway::Impl::isSettled() const
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -43,6 +43,19 @@
     }
 }
 
+void EndpointBook::setHosts(const core::HostName &self, std::span<const core::HostName> others,
+                            core::Instant now)
+{
+    if (!this->hosts.setHosts(self, others)) {
+        return;
+    }
+    for (auto &[name, entry] : this->entries) {
+        if (now < entry.coldUntil) {
+            this->shareOutCold(entry, now);
+        }
+    }
+}
+
 void EndpointBook::setWithdrawnDomains(std::set<core::DomainName> domains)
 {
     this->withdrawn = std::move(domains);
@@ -84,7 +97,7 @@
     if (!isSameStart) {
         const EndpointBelief fresh(this->model.belief, now);
         this->entries.insert_or_assign(facts.endpoint.name,
-                                       Entry { facts, fresh, {}, {}, {}, {}, {}, now });
+                                       Entry { facts, fresh, {}, {}, {}, {}, {}, {}, now });
     }
     Entry &entry = this->entries.at(facts.endpoint.name);
     entry.facts = facts;
@@ -98,6 +111,30 @@
         const double rate = bounds->second.coldRatePerSecond * this->model.coldRateUsed;
         entry.coldBucket.emplace(limits::BucketSize { rate, this->model.coldBurst }, now);
     }
+    this->shareOutCold(entry, now);
+}
+
+// News of other hosts' requests comes too late when many hosts find a cold endpoint idle at the same
+// moment, so that a few hosts use it, each within its own part of the rate.
+void EndpointBook::shareOutCold(Entry &entry, core::Instant now)
+{
+    const auto bounds = this->services.find(entry.facts.service);
+    const std::uint32_t tag = core::tagOf(entry.facts.endpoint.name.text());
+    if (bounds == this->services.end() || this->hosts.rankFor(tag) >= this->model.coldHosts) {
+        entry.ownColdBucket.reset();
+        return;
+    }
+    const auto sharers =
+        static_cast<double>(std::min(this->hosts.size(), this->model.coldHosts));
+    const limits::BucketSize size {
+        bounds->second.coldRatePerSecond * this->model.coldRateUsed / sharers,
+        std::max(this->model.coldBurst / sharers, 1.0)
+    };
+    if (entry.ownColdBucket) {
+        entry.ownColdBucket->resize(size, now);
+        return;
+    }
+    entry.ownColdBucket.emplace(size, now);
 }
 
 std::optional<Choice> EndpointBook::choose(const balance::WorkRequest &request, core::Instant now)
@@ -106,6 +143,8 @@
     double bestCost = 0;
     Entry *retrial = nullptr;
     Entry *idle = nullptr;
+    int usableCount = 0;
+    int idleCount = 0;
     const auto share = this->served.find(request.service);
     const bool isFloorNeeded =
         share != this->served.end() && share->second.unserved(now) > this->model.floorAbove;
@@ -114,11 +153,13 @@
         if (!this->isUsable(entry, request, now)) {
             continue;
         }
+        ++usableCount;
         if (this->isRetrialDue(entry, now)) {
             retrial = &entry;
         }
+        // Any of the idle ones with the same chance: hosts that choose at the same time differ.
         if (isFloorNeeded && this->isIdleTooLong(entry, now)
-            && (idle == nullptr || entry.usedAt < idle->usedAt)) {
+            && unit(this->random) * ++idleCount < 1) {
             idle = &entry;
         }
         const double cost = this->costOf(entry, request, now) + TieSpread * unit(this->random);
@@ -130,12 +171,15 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    const bool isForFloor = idle != nullptr && unit(this->random) < this->model.floorPick;
+    const double idleShare = static_cast<double>(idleCount) / usableCount;
+    const bool isForFloor =
+        idle != nullptr && unit(this->random) < std::max(this->model.floorPick, idleShare);
     const bool isRetrial = isForFloor
         || (retrial != nullptr && best != retrial && unit(this->random) < this->model.retrialShare);
     Entry &chosen = isForFloor ? *idle : isRetrial ? *retrial : *best;
-    if (now < chosen.coldUntil && chosen.coldBucket) {
+    if (now < chosen.coldUntil && chosen.coldBucket && chosen.ownColdBucket) {
         chosen.coldBucket->tryTake(now);
+        chosen.ownColdBucket->tryTake(now);
     }
     return Choice { { 0, chosen.facts.service, chosen.facts.endpoint },
                     chosen.belief.badness(now),
@@ -255,7 +299,11 @@
         || std::ranges::find(request.excluded, endpoint.name) != request.excluded.end()) {
         return false;
     }
-    return now >= entry.coldUntil || !entry.coldBucket || entry.coldBucket->hasToken(now);
+    if (now >= entry.coldUntil || !entry.coldBucket) {
+        return true;
+    }
+    return entry.ownColdBucket && entry.ownColdBucket->hasToken(now)
+        && entry.coldBucket->hasToken(now);
 }
 
 // While many requests are not served, suspects are a part of the capacity that must be in use.
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -15,6 +15,7 @@
 #include "damaskgate/limits/sharedbucket.h"
 #include "damaskgate/settings/settingstypes.h"
 #include "damaskgate/upstreams/endpointbelief.h"
+#include "damaskgate/upstreams/hostranking.h"
 #include "damaskgate/upstreams/servedshare.h"
 
 namespace damaskgate::upstreams {
@@ -50,9 +51,10 @@
     double floorAbove = 0.1; //!< share of unserved requests from which every endpoint is used
     core::Duration floorIdle = std::chrono::milliseconds(1300); //!< longest without a request then
     core::Duration floorRest = std::chrono::milliseconds(2800); //!< the same after a failure
-    double floorPick = 0.3; //!< of the requests while an endpoint is idle too long
+    double floorPick = 0.3; //!< least share of the requests while an endpoint is idle too long
     double coldRateUsed = 0.8; //!< share of what a cold endpoint bears
     double coldBurst = 2; //!< requests
+    std::size_t coldHosts = 6; //!< that may use the same cold endpoint
     double farCost = 0.06; //!< of crossing failure domains, in failed requests
 };
 
@@ -79,6 +81,10 @@
     /** Takes the list of services with their bounds. */
     void setServices(std::map<core::ServiceName, ServiceBounds> services);
 
+    /** Sets the live hosts: few of them may use the same cold endpoint. */
+    void setHosts(const core::HostName &self, std::span<const core::HostName> others,
+                  core::Instant now);
+
     /** Sets the failure domains whose endpoints get no work. */
     void setWithdrawnDomains(std::set<core::DomainName> domains);
 
@@ -143,7 +149,8 @@
         RegisteredEndpoint facts;
         EndpointBelief belief;
         std::deque<Start> running; //!< requests over all hosts, oldest first
-        std::optional<limits::SharedBucket> coldBucket;
+        std::optional<limits::SharedBucket> coldBucket; //!< of all hosts together
+        std::optional<limits::SharedBucket> ownColdBucket; //!< of this host, when it may use it
         core::Instant coldUntil;
         core::Instant fullUntil; //!< it has refused work lately
         std::optional<core::Instant> retriedAt;
@@ -153,6 +160,7 @@
     };
 
     void put(const RegisteredEndpoint &facts, core::Instant now);
+    void shareOutCold(Entry &entry, core::Instant now);
     bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
     bool isIdleTooLong(const Entry &entry, core::Instant now) const;
     bool isRetrialDue(const Entry &entry, core::Instant now) const;
@@ -163,6 +171,7 @@
 
     ChoiceModel model;
     core::DomainName domain;
+    HostRanking hosts;
     std::mt19937_64 random;
     std::map<core::ServiceName, ServiceBounds> services;
     std::map<std::uint32_t, core::ServiceName> servicesByTag;
--- a/src/upstreams/tests/floor_test.cpp
+++ b/src/upstreams/tests/floor_test.cpp
@@ -1,12 +1,13 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
+#include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
-#include "damaskgate/core/hash.h"
-#include "damaskgate/upstreams/endpointbook.h"
+#include "bookfleet.h"
 
 namespace damaskgate::upstreams {
 
@@ -15,8 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int Endpoints = 13;
-constexpr int BadEndpoints = 5;
 constexpr double FloorShare = 0.7; // of the endpoints that have not failed lately
 constexpr seconds Window { 2 };
 constexpr seconds SoundAfter { 2 }; // an endpoint that failed counts again from then on
@@ -26,45 +25,57 @@
     return "endpoint-" + std::to_string(index);
 }
 
+/** Size of a service, and the load on it. */
+struct Load
+{
+    int hosts = 1;
+    int endpoints = 13;
+    int badEndpoints = 5;
+    milliseconds noteDelay { 0 };
+    std::chrono::microseconds gap { 20000 }; //!< between two requests
+};
+
 /** A service whose bad endpoints fail everything, while a quarter of its requests is refused. */
 class TroubledService
 {
 public:
-    TroubledService()
+    explicit TroubledService(const Load &load = {})
+        : load(load), fleet(load.hosts, load.noteDelay)
     {
         std::vector<RegisteredEndpoint> list;
-        for (int i = 0; i < Endpoints; ++i) {
+        for (int i = 0; i < this->load.endpoints; ++i) {
             RegisteredEndpoint facts;
             facts.endpoint.name = core::EndpointName(nameOf(i));
+            if (i < load.badEndpoints) {
+                this->badNames.insert(nameOf(i));
+            }
             facts.service = this->request.service;
             facts.slots = 6;
             facts.revision = 1;
             list.push_back(facts);
         }
-        this->book.setEndpoints(list, true, this->now);
+        this->fleet.setEndpoints(this->request.service, 0, list);
     }
 
     void play(seconds length, bool isRefusing)
     {
         std::bernoulli_distribution refused(0.25);
-        for (const core::Instant end = this->now + length; this->now < end;
-             this->now += milliseconds(20)) {
+        std::uniform_int_distribution<std::size_t> pickHost(0, this->fleet.size() - 1);
+        for (const core::Instant end = this->now() + length; this->now() < end;
+             this->fleet.advance(this->load.gap)) {
+            const std::size_t host = pickHost(this->random);
             if (isRefusing && refused(this->random)) {
-                this->book.onUnserved(this->request.service, this->now);
+                this->fleet.refuse(host, this->request.service);
                 continue;
             }
-            const auto choice = this->book.choose(this->request, this->now);
-            ASSERT_TRUE(choice);
-            const std::string name = choice->grant.endpoint.name.text();
-            const bool isBad = name < nameOf(BadEndpoints) && name.size() == nameOf(0).size();
-            const std::uint32_t tag = core::tagOf(name);
-            this->book.onStarted(tag, 0, this->now);
-            this->book.onEnded(tag, 0,
-                               isBad ? balance::Outcome::ServerError : balance::Outcome::Answered,
-                               this->now);
-            this->usedAt[name].push_back(this->now);
+            const auto endpoint = this->fleet.send(host, this->request);
+            ASSERT_TRUE(endpoint);
+            const bool isBad = this->badNames.contains(endpoint->text());
+            this->fleet.end(host, *endpoint,
+                            isBad ? balance::Outcome::ServerError : balance::Outcome::Answered);
+            this->usedAt[endpoint->text()].push_back(this->now());
             if (isBad) {
-                this->failedAt[name].push_back(this->now);
+                this->failedAt[endpoint->text()].push_back(this->now());
             }
         }
     }
@@ -73,10 +84,10 @@
     double leastShareInUse(core::Instant from) const
     {
         double least = 1;
-        for (core::Instant start = from; start + Window <= this->now; start += milliseconds(100)) {
+        for (core::Instant start = from; start + Window <= this->now(); start += milliseconds(100)) {
             int sound = 0;
             int used = 0;
-            for (int i = 0; i < Endpoints; ++i) {
+            for (int i = 0; i < this->load.endpoints; ++i) {
                 const std::string name = nameOf(i);
                 if (this->isAnyIn(this->failedAt, name, start - SoundAfter, start + Window)) {
                     continue;
@@ -98,7 +109,10 @@
         return count;
     }
 
-    core::Instant now { std::chrono::hours(1) };
+    core::Instant now() const
+    {
+        return this->fleet.now;
+    }
 
 private:
     using Times = std::map<std::string, std::vector<core::Instant>>;
@@ -113,7 +127,9 @@
                });
     }
 
-    EndpointBook book { ChoiceModel {}, core::DomainName(), 5 };
+    Load load;
+    BookFleet fleet;
+    std::set<std::string> badNames;
     balance::WorkRequest request { core::ServiceName("booking"), {}, false, {}, {} };
     std::mt19937_64 random { 11 };
     Times usedAt;
@@ -129,7 +145,27 @@
     service.play(seconds(4), true);
 
     // [WHEN] That lasts
-    const core::Instant from = service.now;
+    const core::Instant from = service.now();
+    service.play(seconds(20), true);
+
+    // [THEN] In any window enough of the endpoints that have not failed lately are in use
+    EXPECT_GE(service.leastShareInUse(from), FloorShare);
+}
+
+TEST(Floor_Tests, Choose_ManyHostsHearLate_KeepsTheFloorOfEndpointsInUse)
+{
+    // [GIVEN] A large fleet, whose hosts choose before they hear what the others chose
+    Load load;
+    load.hosts = 113;
+    load.endpoints = 86;
+    load.badEndpoints = 26;
+    load.noteDelay = milliseconds(100);
+    load.gap = std::chrono::microseconds(3600);
+    TroubledService service(load);
+    service.play(seconds(4), true);
+
+    // [WHEN] A quarter of the requests is refused for long
+    const core::Instant from = service.now();
     service.play(seconds(20), true);
 
     // [THEN] In any window enough of the endpoints that have not failed lately are in use
