mirror: a copy read in pages claims no more than it holds

An item of a later page may be newer than the first page, and the copy then claimed the later revision. Another host that was told skipped what had changed in between until it changed again.

Change: the content revision never passes the revision that the changes are complete up to. Test: fails before, passes after.

--- a/src/mirror/mirror.cpp
+++ b/src/mirror/mirror.cpp
@@ -18,7 +18,8 @@
         this->changedAt = changes.revision;
     }
     for (const Item &item : changes.items) {
-        this->changedAt = std::max(this->changedAt, item.revision);
+        // Pages of a whole copy may hold later items; what changed before those is still to come.
+        this->changedAt = std::max(this->changedAt, std::min(item.revision, changes.revision));
         isChanged = this->put(item) || isChanged;
     }
     for (const Removal &removal : changes.removals) {
--- a/src/mirror/tests/mirror_test.cpp
+++ b/src/mirror/tests/mirror_test.cpp
@@ -79,6 +79,23 @@
     EXPECT_EQ(second.contentRevision(), first.contentRevision());
 }
 
+TEST(Mirror_Tests, ChangesSince_WholeCopyWithALaterItem_LeavesNoGapAtAnotherHost)
+{
+    // [GIVEN] A copy of revision 5 whose later page held an item of revision 8, and a host told of it
+    Mirror reader;
+    Mirror told;
+    reader.apply(whole(5, { { "a", "1", 2 }, { "b", "2", 8 } }));
+    told.apply(reader.changesSince(told.contentRevision()));
+
+    // [WHEN] The reader learns what changed in between
+    reader.apply(part(8, { { "a", "2", 6 }, { "b", "2", 8 } }));
+    EXPECT_GT(reader.contentRevision(), told.contentRevision());
+    told.apply(reader.changesSince(told.contentRevision()));
+
+    // [THEN] The other host learns it too
+    EXPECT_EQ(told.items(), reader.items());
+}
+
 TEST(Mirror_Tests, ContentRevision_WatchWithoutEvents_DoesNotMove)
 {
     // [GIVEN] A copy
