gateway: one line for each endpoint that comes, restarts, leaves or goes

Cause: a request that reached an endpoint late after its leaving could not be traced, since no line tells what a host believes of its endpoints.

Change: EndpointBook::setEndpoints returns what changed, and the gateway writes endpoint-changed with the revision of the registration; a registration that was written before the one that is held is told as outdated.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -315,7 +315,14 @@
     this->reportUnreadable(list.unreadable);
     const bool isSettled = this->isSettled();
     this->book.setWithdrawnDomains(this->publication->readWithdrawnDomains(items));
-    this->book.setEndpoints(list.endpoints, isSettled, this->clock.now());
+    for (const upstreams::EndpointChange &change :
+         this->book.setEndpoints(list.endpoints, isSettled, this->clock.now())) {
+        this->events.record({ "endpoint-changed",
+                              { { "change", upstreams::toText(change.kind) },
+                                { "service", change.service.text() },
+                                { "endpoint", change.name.text() },
+                                { "revision", change.revision } } });
+    }
     this->isUnsettledDataKept = !isSettled;
 }
 
--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -1,6 +1,7 @@
 #include "damaskgate/upstreams/endpointbook.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "damaskgate/core/hash.h"
@@ -28,8 +29,22 @@
         || outcome == Outcome::Timeout || outcome == Outcome::BrokenOff;
 }
 
+// Whether an endpoint wrote @p facts before it wrote @p held.
+bool isOlder(const RegisteredEndpoint &facts, const RegisteredEndpoint &held)
+{
+    return std::pair(facts.startedAtMillis, facts.sequence)
+        < std::pair(held.startedAtMillis, held.sequence);
+}
+
 } // namespace
 
+std::string_view toText(EndpointChange::Kind kind)
+{
+    constexpr std::array<std::string_view, 5> Texts { "added", "restarted", "leaving", "gone",
+                                                      "outdated" };
+    return Texts[static_cast<std::size_t>(kind)];
+}
+
 EndpointBook::EndpointBook(ChoiceModel model, core::DomainName domain, std::uint64_t seed)
     : model(model), domain(std::move(domain)), random(seed)
 {}
@@ -61,39 +76,54 @@
     this->withdrawn = std::move(domains);
 }
 
-void EndpointBook::setEndpoints(std::span<const RegisteredEndpoint> endpoints, bool isSettled,
-                                core::Instant now)
+std::vector<EndpointChange>
+EndpointBook::setEndpoints(std::span<const RegisteredEndpoint> endpoints, bool isSettled,
+                           core::Instant now)
 {
     this->wasFilled = true;
+    std::vector<EndpointChange> changes;
     std::set<core::EndpointName> listed;
     for (const RegisteredEndpoint &facts : endpoints) {
         listed.insert(facts.endpoint.name);
-        this->put(facts, now);
+        if (const auto kind = this->put(facts, now)) {
+            changes.push_back({ *kind, facts.endpoint.name, facts.service, facts.revision });
+        }
     }
-    const auto isGone = [&listed, isSettled](const auto &item) {
-        const bool isKept = !isSettled && !item.second.facts.isLeaving;
-        return !listed.contains(item.first) && !isKept;
+    const auto isGone = [&listed, isSettled, &changes](const auto &item) {
+        const RegisteredEndpoint &facts = item.second.facts;
+        const bool isKept = !isSettled && !facts.isLeaving;
+        if (listed.contains(item.first) || isKept) {
+            return false;
+        }
+        changes.push_back(
+            { EndpointChange::Kind::Gone, item.first, facts.service, facts.revision });
+        return true;
     };
     std::erase_if(this->entries, isGone);
     this->namesByTag.clear();
     for (const auto &[name, entry] : this->entries) {
         this->namesByTag.emplace(core::tagOf(name.text()), name);
     }
+    return changes;
 }
 
-void EndpointBook::put(const RegisteredEndpoint &facts, core::Instant now)
+std::optional<EndpointChange::Kind> EndpointBook::put(const RegisteredEndpoint &facts,
+                                                      core::Instant now)
 {
+    using Kind = EndpointChange::Kind;
     const auto found = this->entries.find(facts.endpoint.name);
-    const bool isSameStart = found != this->entries.end()
-        && found->second.facts.startedAtMillis == facts.startedAtMillis;
-    if (found != this->entries.end()) {
-        const auto order = std::pair(facts.startedAtMillis, facts.sequence);
-        const RegisteredEndpoint &held = found->second.facts;
-        if (facts.revision == held.revision
-            || order < std::pair(held.startedAtMillis, held.sequence)) {
-            return;
-        }
+    const bool isKnown = found != this->entries.end();
+    if (isKnown && facts.revision == found->second.facts.revision) {
+        return std::nullopt;
     }
+    if (isKnown && isOlder(facts, found->second.facts)) {
+        // The revision is kept, so that the same registration is reported once.
+        found->second.facts.revision = facts.revision;
+        return Kind::Outdated;
+    }
+    const bool isSameStart =
+        isKnown && found->second.facts.startedAtMillis == facts.startedAtMillis;
+    const bool wasLeaving = isSameStart && found->second.facts.isLeaving;
     if (!isSameStart) {
         const EndpointBelief fresh(this->model.belief, now);
         this->entries.insert_or_assign(facts.endpoint.name,
@@ -101,6 +131,16 @@
     }
     Entry &entry = this->entries.at(facts.endpoint.name);
     entry.facts = facts;
+    this->takeColdTime(entry, now);
+    if (!isSameStart) {
+        return isKnown ? Kind::Restarted : Kind::Added;
+    }
+    return facts.isLeaving && !wasLeaving ? std::optional(Kind::Leaving) : std::nullopt;
+}
+
+void EndpointBook::takeColdTime(Entry &entry, core::Instant now)
+{
+    const RegisteredEndpoint &facts = entry.facts;
     if (facts.coldFor <= core::Duration::zero()) {
         return;
     }
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <span>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -33,6 +34,26 @@
     std::uint64_t revision = 0; //!< of the source, of this registration
 };
 
+/** What a new list of endpoints changed about one of them. */
+struct EndpointChange
+{
+    enum class Kind : std::uint8_t {
+        Added,
+        Restarted, //!< under the same name
+        Leaving,
+        Gone,
+        Outdated, //!< the registration was written before the one that is held, and is ignored
+    };
+
+    Kind kind = Kind::Added;
+    core::EndpointName name;
+    core::ServiceName service;
+    std::uint64_t revision = 0; //!< of the registration
+};
+
+/** @return @p kind as it stands in logs. */
+std::string_view toText(EndpointChange::Kind kind);
+
 /** What of a service bounds the work of its endpoints. */
 struct ServiceBounds
 {
@@ -93,9 +114,10 @@
      *
      * @param isSettled whether the source has been reached without a gap for long enough; a
      *        registration that is missing before that is kept until it is
+     * @return what changed
      */
-    void setEndpoints(std::span<const RegisteredEndpoint> endpoints, bool isSettled,
-                      core::Instant now);
+    std::vector<EndpointChange> setEndpoints(std::span<const RegisteredEndpoint> endpoints, bool isSettled,
+                                             core::Instant now);
 
     /** @return an endpoint for @p request, or nothing when none may take it. */
     std::optional<Choice> choose(const balance::WorkRequest &request, core::Instant now);
@@ -159,7 +181,8 @@
         bool isMisdirected = false; //!< another endpoint has its address
     };
 
-    void put(const RegisteredEndpoint &facts, core::Instant now);
+    std::optional<EndpointChange::Kind> put(const RegisteredEndpoint &facts, core::Instant now);
+    void takeColdTime(Entry &entry, core::Instant now);
     void shareOutCold(Entry &entry, core::Instant now);
     bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
     bool isIdleTooLong(const Entry &entry, core::Instant now) const;
