fleet, mirror: the strongest hosts spread notes and read the source

Cause: hub and readers were the first by name and by rank, whatever the machine. On the grown fleets most hosts have a tenth of a core and 10 Mbit/s, a few have half a core and 200 Mbit/s.

Change: each host tells its part of a core; stronger hosts go first as hub and as reader.

--- a/src/fleet/fleet.capnp
+++ b/src/fleet/fleet.capnp
@@ -16,6 +16,7 @@
   ageMilliseconds @1 :UInt16;
   isLeaving @2 :Bool;
   isServing @3 :Bool;
+  corePercent @4 :UInt8;
 }
 
 struct Beat {
@@ -29,4 +30,5 @@
   known @7 :List(Text);
   notes @8 :List(Note);
   vouches @9 :List(Vouch);
+  corePercent @10 :UInt8;
 }
--- a/src/fleet/fleet.capnp.h
+++ b/src/fleet/fleet.capnp.h
@@ -195,6 +195,8 @@
 
   inline bool getIsServing() const;
 
+  inline  ::uint8_t getCorePercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -235,6 +237,9 @@
   inline bool getIsServing();
   inline void setIsServing(bool value);
 
+  inline  ::uint8_t getCorePercent();
+  inline void setCorePercent( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -302,6 +307,8 @@
   inline bool hasVouches() const;
   inline  ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>::Reader getVouches() const;
 
+  inline  ::uint8_t getCorePercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -377,6 +384,9 @@
   inline void adoptVouches(::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::damaskgate::fleet::wire::Vouch,  ::capnp::Kind::STRUCT>> disownVouches();
 
+  inline  ::uint8_t getCorePercent();
+  inline void setCorePercent( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -531,6 +541,20 @@
       ::capnp::bounded<49>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Vouch::Reader::getCorePercent() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Vouch::Builder::getCorePercent() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Vouch::Builder::setCorePercent( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -755,6 +779,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t Beat::Reader::getCorePercent() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Beat::Builder::getCorePercent() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setCorePercent( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -62,6 +62,7 @@
     root.setIsServing(beat.state.isServing);
     root.setIsAsking(beat.isAsking);
     root.setSpread(static_cast<std::uint8_t>(beat.spread));
+    root.setCorePercent(beat.state.corePercent);
     root.setDataRevision(beat.state.dataRevision);
     root.setSourceAgeMilliseconds(toWireAge(beat.state.sourceAge));
     auto known = root.initKnown(static_cast<unsigned>(beat.known.size()));
@@ -79,6 +80,7 @@
         vouches[index].setAgeMilliseconds(toWireAge(vouch.age));
         vouches[index].setIsLeaving(vouch.isLeaving);
         vouches[index].setIsServing(vouch.isServing);
+        vouches[index].setCorePercent(vouch.corePercent);
     }
     return peer::packMessage(message);
 }
@@ -94,6 +96,7 @@
         beat.spread = root.getSpread() > static_cast<std::uint8_t>(Spread::Domain)
             ? Spread::Done
             : static_cast<Spread>(root.getSpread());
+        beat.state.corePercent = root.getCorePercent();
         beat.state.dataRevision = root.getDataRevision();
         if (root.getSourceAgeMilliseconds() != NoSourceAge) {
             beat.state.sourceAge = std::chrono::milliseconds(root.getSourceAgeMilliseconds());
@@ -107,7 +110,8 @@
         for (const auto vouch : root.getVouches()) {
             beat.vouches.push_back({ toName(vouch.getAddress()),
                                      std::chrono::milliseconds(vouch.getAgeMilliseconds()),
-                                     vouch.getIsLeaving(), vouch.getIsServing() });
+                                     vouch.getIsLeaving(), vouch.getIsServing(),
+                                     vouch.getCorePercent() });
         }
         return beat;
     };
--- a/src/fleet/fleettable.cpp
+++ b/src/fleet/fleettable.cpp
@@ -7,8 +7,9 @@
 namespace damaskgate::fleet {
 
 FleetTable::FleetTable(core::HostName self, core::DomainName domain, FleetPace pace,
-                       std::uint64_t seed)
-    : selfName(std::move(self)), domain(std::move(domain)), pace(pace), random(seed)
+                       std::uint64_t seed, std::uint8_t corePercent)
+    : selfName(std::move(self)), domain(std::move(domain)), pace(pace), random(seed),
+      corePercent(corePercent)
 {}
 
 bool FleetTable::onHeard(const core::HostName &from, std::uint64_t incarnation,
@@ -54,6 +55,7 @@
         state.domain = domain;
         state.isLeaving = vouch.isLeaving;
         state.isServing = vouch.isServing;
+        state.corePercent = vouch.corePercent;
     }
     return isChanged;
 }
@@ -65,8 +67,8 @@
         if (member->state.domain == this->domain) {
             const auto age =
                 std::chrono::duration_cast<std::chrono::milliseconds>(now - member->heardAt);
-            vouches.push_back(
-                { member->name, age, member->state.isLeaving, member->state.isServing });
+            vouches.push_back({ member->name, age, member->state.isLeaving,
+                                member->state.isServing, member->state.corePercent });
         }
     }
     return vouches;
@@ -193,12 +195,16 @@
 
 core::HostName FleetTable::hub(core::Instant now)
 {
+    // Stronger hosts go first, then those first by name.
+    const auto isBefore = [](std::uint8_t core, const core::HostName &name, std::uint8_t otherCore,
+                             const core::HostName &otherName) {
+        return core != otherCore ? core > otherCore : name < otherName;
+    };
+    core::HostName hub = this->selfName;
+    std::uint8_t hubCore = this->corePercent;
     for (auto &[name, entry] : this->entries) {
-        if (name > this->selfName) {
-            break;
-        }
-        if (!this->isEntryLive(entry, now) || entry.member.state.domain != this->domain
-            || entry.member.state.isLeaving) {
+        if (!this->isHubCandidate(entry, now)
+            || !isBefore(entry.member.state.corePercent, name, hubCore, hub)) {
             continue;
         }
         if (entry.hubAskedAt && now - *entry.hubAskedAt > this->pace.hubAnswer) {
@@ -206,10 +212,11 @@
             entry.hubReplacedAt = now;
         }
         if (!entry.hubReplacedAt || now - *entry.hubReplacedAt > this->pace.hubRest) {
-            return name;
+            hub = name;
+            hubCore = entry.member.state.corePercent;
         }
     }
-    return this->selfName;
+    return hub;
 }
 
 void FleetTable::onSentToHub(const core::HostName &name, core::Instant now)
@@ -246,6 +253,12 @@
     return this->selfName;
 }
 
+bool FleetTable::isHubCandidate(const Entry &entry, core::Instant now) const
+{
+    return this->isEntryLive(entry, now) && entry.member.state.domain == this->domain
+        && !entry.member.state.isLeaving;
+}
+
 bool FleetTable::isEntryLive(const Entry &entry, core::Instant now) const
 {
     return entry.isHeard && now - entry.member.heardAt <= this->pace.lostAfter;
--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -31,7 +31,9 @@
 class FleetTable
 {
 public:
-    FleetTable(core::HostName self, core::DomainName domain, FleetPace pace, std::uint64_t seed);
+    /** @param corePercent of a processor core that this host may use */
+    FleetTable(core::HostName self, core::DomainName domain, FleetPace pace, std::uint64_t seed,
+               std::uint8_t corePercent = 0);
 
     /** Notes a message of @p from. @return whether the set of live hosts may have changed */
     bool onHeard(const core::HostName &from, std::uint64_t incarnation, const HostState &state,
@@ -83,8 +85,8 @@
     std::vector<core::HostName> relays(core::Instant now);
 
     /**
-     * @return the host that spreads notes within this failure domain: the first by name that
-     *         answers, which may be this one
+     * @return the host that spreads notes within this failure domain: of those that answer, the
+     *         first by name among the strongest; it may be this one
      */
     core::HostName hub(core::Instant now);
 
@@ -112,6 +114,7 @@
         std::optional<core::Instant> hubReplacedAt;
     };
 
+    bool isHubCandidate(const Entry &entry, core::Instant now) const;
     bool isEntryLive(const Entry &entry, core::Instant now) const;
     std::map<core::DomainName, std::vector<core::HostName>> farHosts(core::Instant now) const;
 
@@ -119,6 +122,7 @@
     core::DomainName domain;
     FleetPace pace;
     std::mt19937_64 random;
+    std::uint8_t corePercent;
     std::map<core::HostName, Entry> entries;
 };
 
--- a/src/fleet/include/damaskgate/fleet/fleettypes.h
+++ b/src/fleet/include/damaskgate/fleet/fleettypes.h
@@ -29,6 +29,7 @@
     core::DomainName domain;
     bool isLeaving = false; //!< takes no new callers and ends soon
     bool isServing = false; //!< takes callers
+    std::uint8_t corePercent = 0; //!< of a processor core that it may use; more work goes to more
     std::uint64_t dataRevision = 0; //!< of the published data that it holds
     std::optional<std::chrono::milliseconds> sourceAge; //!< since it last reached the source itself
 };
@@ -40,6 +41,7 @@
     std::chrono::milliseconds age { 0 }; //!< since it was heard
     bool isLeaving = false;
     bool isServing = false;
+    std::uint8_t corePercent = 0; //!< see HostState
 
     bool operator==(const Vouch &) const = default;
 };
--- a/src/fleet/tests/fleetcodec_test.cpp
+++ b/src/fleet/tests/fleetcodec_test.cpp
@@ -8,12 +8,12 @@
 {
     // [GIVEN] A beat with all fields set
     Beat beat;
-    beat.state = { core::DomainName("north"), true, false, 77, std::chrono::milliseconds(40) };
+    beat.state = { core::DomainName("north"), true, false, 50, 77, std::chrono::milliseconds(40) };
     beat.isAsking = true;
     beat.spread = Spread::Domain;
     beat.known = { core::HostName("10.1.0.1") };
     beat.notes = { { 2, 3, 4, 5, 6 } };
-    beat.vouches = { { core::HostName("10.1.0.2"), std::chrono::milliseconds(9), true, true } };
+    beat.vouches = { { core::HostName("10.1.0.2"), std::chrono::milliseconds(9), true, true, 10 } };
 
     // [WHEN] It goes over the wire
     const auto decoded = decode(encode(beat));
@@ -23,6 +23,7 @@
     EXPECT_EQ(decoded->state.domain, beat.state.domain);
     EXPECT_EQ(decoded->state.isLeaving, true);
     EXPECT_EQ(decoded->state.isServing, false);
+    EXPECT_EQ(decoded->state.corePercent, 50);
     EXPECT_EQ(decoded->state.dataRevision, 77U);
     EXPECT_EQ(decoded->state.sourceAge, beat.state.sourceAge);
     EXPECT_TRUE(decoded->isAsking);
--- a/src/fleet/tests/fleettable_test.cpp
+++ b/src/fleet/tests/fleettable_test.cpp
@@ -178,6 +178,28 @@
     EXPECT_EQ(this->table.hub(this->now + milliseconds(600)), host(1, 1));
 }
 
+TEST_F(FleetTable_Tests, Hub_StrongerHosts_GoFirst)
+{
+    // [GIVEN] A fleet of weak hosts, two of which have five times the processor
+    this->hearAll();
+    HostState strong = stateOf("north");
+    strong.corePercent = 50;
+    this->table.onHeard(host(1, 2), 1, strong, this->now);
+    this->table.onHeard(host(1, 9), 1, strong, this->now);
+
+    // [THEN] They spread the notes of all, one after the other
+    EXPECT_EQ(this->table.hub(this->now), host(1, 2));
+    this->table.onSentToHub(host(1, 2), this->now);
+    EXPECT_EQ(this->table.hub(this->now + milliseconds(501)), host(1, 9));
+}
+
+TEST_F(FleetTable_Tests, Hub_ThisHostIsTheStrongest_IsThisOne)
+{
+    this->table = FleetTable(host(1, 5), core::DomainName("north"), this->pace, 1, 50);
+    this->hearAll();
+    EXPECT_EQ(this->table.hub(this->now), host(1, 5));
+}
+
 TEST_F(FleetTable_Tests, Hub_NoOtherHost_IsThisOne)
 {
     EXPECT_EQ(this->table.hub(this->now), host(1, 5));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -167,11 +167,12 @@
       network(this->context.get_executor(),
               { this->peerName, this->incarnation, this->options.fleetSecret }, this->events),
       fleet({ this->context, this->clock, this->events, this->network },
-            fleet::FleetTable(this->peerName, this->options.domain, {}, this->incarnation),
+            fleet::FleetTable(this->peerName, this->options.domain, {}, this->incarnation,
+                              this->options.corePercent),
             toNames(this->options.seeds)),
       mirrorService(
           { this->context, this->clock, this->events, this->fleet, this->publication->source() },
-          this->options.ports.peers),
+          this->options.ports.peers, this->options.corePercent),
       admission(this->clock), retries(this->clock, this->options.retries),
       book(this->options.choice, this->options.domain, this->incarnation),
       balancer(
@@ -260,6 +261,7 @@
     state.domain = this->options.domain;
     state.isLeaving = this->state.isLeaving();
     state.isServing = this->state.isReady();
+    state.corePercent = this->options.corePercent;
     state.dataRevision = this->mirrorService.mirror().contentRevision();
     if (const auto seen = this->mirrorService.sourceSeenAt()) {
         state.sourceAge =
--- a/src/gateway/include/damaskgate/gateway/gateway.h
+++ b/src/gateway/include/damaskgate/gateway/gateway.h
@@ -37,6 +37,7 @@
     upstreams::RetryBounds retries;
     upstreams::ChoiceModel choice;
     std::chrono::milliseconds lookupTimeToLive { 4000 };
+    std::uint8_t corePercent = 0; //!< of a processor core that the host may use; zero: not known
     std::size_t maxConnections = 2900; //!< open connections of callers
     std::chrono::milliseconds stopGrace { 6000 }; //!< from the signal to the end at the latest
 };
--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -41,8 +41,12 @@
 
     using Listener = std::function<void()>;
 
-    /** @param peerPort TCP port where other hosts answer with their changes */
-    MirrorService(const Dependencies &dependencies, std::uint16_t peerPort);
+    /**
+     * @param peerPort TCP port where other hosts answer with their changes
+     * @param corePercent of a processor core that this host may use
+     */
+    MirrorService(const Dependencies &dependencies, std::uint16_t peerPort,
+                  std::uint8_t corePercent);
 
     /** Sets who learns that items changed; before start(). */
     void setListener(Listener listener);
--- a/src/mirror/include/damaskgate/mirror/readerduty.h
+++ b/src/mirror/include/damaskgate/mirror/readerduty.h
@@ -2,7 +2,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 
 #include "damaskgate/core/names.h"
@@ -15,11 +17,12 @@
 {
     core::HostName name;
     std::optional<core::Instant> sourceSeenAt; //!< when it last reached the source itself
+    std::uint8_t corePercent = 0; //!< of a processor core that it may use
 };
 
 /**
- * Decides whether this host reads from the source itself. A few hosts do, found by rank; the others
- * are told by them. A host steps in when too few of those before it in rank reach the source, after
+ * Decides whether this host reads from the source itself. A few hosts do, found by rank among the
+ * strongest first; the others are told by them. A host steps in when too few of those before it in rank reach the source, after
  * a delay that rises with its rank.
  */
 class ReaderDuty
@@ -31,13 +34,17 @@
     static constexpr core::Duration DelayPerRank = std::chrono::milliseconds(50);
     static constexpr std::size_t MaxDelayedRank = 16;
 
-    explicit ReaderDuty(core::HostName self);
+    /** @param corePercent of a processor core that this host may use */
+    explicit ReaderDuty(core::HostName self, std::uint8_t corePercent = 0);
 
     /** @return whether this host should read now. */
     bool shouldRead(std::span<const ReaderView> others, core::Instant now);
 
 private:
+    std::set<core::HostName> hostsBefore(std::span<const ReaderView> others) const;
+
     core::HostName self;
+    std::uint8_t corePercent;
     std::optional<core::Instant> lackingSince;
 };
 
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -30,10 +30,12 @@
 
 } // namespace
 
-MirrorService::MirrorService(const Dependencies &dependencies, std::uint16_t peerPort)
+MirrorService::MirrorService(const Dependencies &dependencies, std::uint16_t peerPort,
+                             std::uint8_t corePercent)
     : context(dependencies.context), clock(dependencies.clock), events(dependencies.events),
       fleet(dependencies.fleet), source(dependencies.source), peerPort(peerPort),
-      duty(this->fleet.table().self()), peerReader(this->context, { PeerTimeout, MaxPeerBytes }),
+      duty(this->fleet.table().self(), corePercent),
+      peerReader(this->context, { PeerTimeout, MaxPeerBytes }),
       tickTimer(this->context), pauseTimer(this->context)
 {
     this->fleet.addHeardListener([this](const fleet::Member &member) { this->onHeard(member); });
@@ -112,6 +114,7 @@
     for (const fleet::Member *member : this->fleet.table().liveMembers(now)) {
         ReaderView &view = others.emplace_back();
         view.name = member->name;
+        view.corePercent = member->state.corePercent;
         const auto seen = this->seenAtByHost.find(member->name);
         if (seen != this->seenAtByHost.end()) {
             view.sourceSeenAt = seen->second;
--- a/src/mirror/readerduty.cpp
+++ b/src/mirror/readerduty.cpp
@@ -1,8 +1,6 @@
 #include "damaskgate/mirror/readerduty.h"
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -16,15 +14,29 @@
 
 } // namespace
 
-ReaderDuty::ReaderDuty(core::HostName self) : self(std::move(self)) {}
+ReaderDuty::ReaderDuty(core::HostName self, std::uint8_t corePercent)
+    : self(std::move(self)), corePercent(corePercent)
+{}
+
+std::set<core::HostName> ReaderDuty::hostsBefore(std::span<const ReaderView> others) const
+{
+    std::set<core::HostName> before;
+    std::vector<core::HostName> equals { this->self };
+    for (const ReaderView &other : others) {
+        if (other.corePercent > this->corePercent) {
+            before.insert(other.name);
+        } else if (other.corePercent == this->corePercent) {
+            equals.push_back(other.name);
+        }
+    }
+    const auto ranked = core::rankHosts(equals, RankKey);
+    before.insert(ranked.begin(), std::ranges::find(ranked, this->self));
+    return before;
+}
 
 bool ReaderDuty::shouldRead(std::span<const ReaderView> others, core::Instant now)
 {
-    std::vector<core::HostName> names { this->self };
-    std::ranges::transform(others, std::back_inserter(names), &ReaderView::name);
-    const auto ranked = core::rankHosts(names, RankKey);
-    const auto own = std::ranges::find(ranked, this->self);
-    const std::set<core::HostName> before(ranked.begin(), own);
+    const std::set<core::HostName> before = this->hostsBefore(others);
     const auto isFresh = [&before, now](const ReaderView &other) {
         return before.contains(other.name) && other.sourceSeenAt
             && now - *other.sourceSeenAt <= FreshFor;
--- a/src/mirror/tests/readerduty_test.cpp
+++ b/src/mirror/tests/readerduty_test.cpp
@@ -48,6 +48,22 @@
     EXPECT_TRUE(this->isOnDuty(1, 0, core::Duration::zero()));
 }
 
+TEST_F(ReaderDuty_Tests, ShouldRead_StrongerHosts_GoBeforeThoseOfHigherRank)
+{
+    // [GIVEN] Two hosts at the end of the rank that have more of a processor than all others
+    const std::size_t last = this->hosts.size() - 1;
+    auto others = this->viewOf(0, 0);
+    for (ReaderView &other : others) {
+        other.corePercent = other.name == this->hosts[last] || other.name == this->hosts[last - 1]
+            ? 50
+            : 10;
+    }
+
+    // [THEN] They read at once, the first in rank only when they do not
+    EXPECT_TRUE(ReaderDuty(this->hosts[last], 50).shouldRead(this->viewOf(last, 0), this->now));
+    EXPECT_FALSE(ReaderDuty(this->hosts[0], 10).shouldRead(others, this->now));
+}
+
 TEST_F(ReaderDuty_Tests, ShouldRead_ReadersReachTheSource_OthersDoNot)
 {
     for (std::size_t rank = 2; rank < this->hosts.size(); ++rank) {
