gateway, platform: settings and registrations are read once for each change

Cause: each change of any item read the whole configuration and every registration again; on a host with a tenth of a core that stops everything else for as long.

Change: the gateway reads settings only when their item has a new revision, the publication keeps what it read of each registration.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -154,7 +154,7 @@
     boost::asio::steady_timer maintenanceTimer;
     boost::asio::steady_timer stopTimer;
     std::mt19937_64 random;
-    std::uint64_t refusedSettingsRevision = 0;
+    std::optional<std::uint64_t> readSettingsRevision; //!< of the item that was read last
     std::map<std::string, std::uint64_t> reportedRevisions; //!< of registrations, by key
     bool isUnsettledDataKept = false; //!< registrations are kept until the source has settled
 };
@@ -292,16 +292,17 @@
 
 void Gateway::Impl::applySettings(const Items &items)
 {
+    const auto revision = this->publication->settingsRevision(items);
+    if (!revision || this->readSettingsRevision == revision) {
+        return;
+    }
+    this->readSettingsRevision = revision;
     auto read = this->publication->readSettings(items);
     if (!read) {
         return;
     }
     if (!*read) {
-        const std::uint64_t revision = this->mirrorService.mirror().contentRevision();
-        if (this->refusedSettingsRevision != revision) {
-            this->refusedSettingsRevision = revision;
-            this->events.record({ "settings-refused", { { "detail", read->error().detail } } });
-        }
+        this->events.record({ "settings-refused", { { "detail", read->error().detail } } });
         return;
     }
     const std::uint64_t number = (*read)->revision.number;
--- a/src/gateway/include/damaskgate/gateway/ipublication.h
+++ b/src/gateway/include/damaskgate/gateway/ipublication.h
@@ -51,8 +51,11 @@
     virtual std::optional<core::Result<settings::Settings>>
     readSettings(const Items &items) const = 0;
 
-    /** @return the endpoints registered in @p items. */
-    virtual EndpointList readEndpoints(const Items &items) const = 0;
+    /** @return the revision of the settings among @p items, or nothing when there are none. */
+    virtual std::optional<std::uint64_t> settingsRevision(const Items &items) const = 0;
+
+    /** @return the endpoints registered in @p items; reads only those that have changed. */
+    virtual EndpointList readEndpoints(const Items &items) = 0;
 
     /** @return the failure domains whose endpoints are to get no work. */
     virtual std::set<core::DomainName> readWithdrawnDomains(const Items &items) const = 0;
