upstreams: a failed request counts against the floor unless it tried a suspect

Cause: when a failure domain is lost, the requests under way at its endpoints fail within a moment. The first failure made the endpoint a suspect, and those after it counted as trials of a suspect, not as requests that were not served.

Change: the host that chose tells whether it tried a suspect.

--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -246,7 +246,7 @@
 }
 
 void EndpointBook::onEnded(std::uint32_t tag, std::uint32_t host, balance::Outcome outcome,
-                           core::Instant now)
+                           core::Instant now, bool isRetrial)
 {
     Entry *entry = this->findByTag(tag);
     if (entry == nullptr) {
@@ -268,8 +268,9 @@
         return;
     default:
         entry->hasFailedLast = isFailure(outcome);
-        // Failed trials of suspects do not ask for more trials.
-        if (!entry->hasFailedLast || entry->belief.badness(now) <= this->model.suspectAbove) {
+        // Failed trials of suspects do not ask for more trials. A request that was on its way when
+        // its endpoint became suspect was none.
+        if (!entry->hasFailedLast || !isRetrial) {
             this->served[entry->facts.service].count(!entry->hasFailedLast, now);
         }
         entry->belief.onOutcome(entry->hasFailedLast, 1, now);
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -17,6 +17,7 @@
     Ended = 3, //!< amount is the outcome
     Refused = 5, //!< a host refused a request; the subject is the service
     Redirected = 4, //!< a further attempt of a request that no endpoint has got yet
+    RetrialEnded = 6, //!< as Ended, of a request that tried a suspect
 };
 
 constexpr int LateFactor = 3; // times the usual time
@@ -76,9 +77,11 @@
         this->dependencies.book.onLatency(attempt.request, report.latency);
     }
     const balance::Outcome outcome = this->judge(attempt, report);
-    this->dependencies.book.onEnded(tag, 0, outcome, this->dependencies.clock.now());
-    this->dependencies.notes.publish({ static_cast<std::uint8_t>(NoteKind::Ended),
-                                       static_cast<std::uint16_t>(outcome), tag, 0, 0 });
+    const bool isRetrial = attempt.choice.isRetrial;
+    this->dependencies.book.onEnded(tag, 0, outcome, this->dependencies.clock.now(), isRetrial);
+    const NoteKind kind = isRetrial ? NoteKind::RetrialEnded : NoteKind::Ended;
+    this->dependencies.notes.publish(
+        { static_cast<std::uint8_t>(kind), static_cast<std::uint16_t>(outcome), tag, 0, 0 });
 }
 
 void FleetBalancer::onRefused(const core::ServiceName &service)
@@ -139,10 +142,12 @@
                                           this->dependencies.clock.now());
         return;
     case NoteKind::Ended:
+    case NoteKind::RetrialEnded:
         if (note.amount <= LastOutcome) {
-            this->dependencies.book.onEnded(note.subject, note.origin,
-                                            static_cast<balance::Outcome>(note.amount),
-                                            this->dependencies.clock.now());
+            this->dependencies.book.onEnded(
+                note.subject, note.origin, static_cast<balance::Outcome>(note.amount),
+                this->dependencies.clock.now(),
+                static_cast<NoteKind>(note.kind) == NoteKind::RetrialEnded);
         }
         return;
     }
--- a/src/upstreams/hostranking.cpp
+++ b/src/upstreams/hostranking.cpp
@@ -42,8 +42,7 @@
 {
     const std::uint64_t own = scoreOf(this->self, subject);
     return static_cast<std::size_t>(std::ranges::count_if(
-        this->others,
-        [own, subject](std::uint32_t host) { return scoreOf(host, subject) > own; }));
+        this->others, [own, subject](std::uint32_t host) { return scoreOf(host, subject) > own; }));
 }
 
 } // namespace damaskgate::upstreams
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -125,9 +125,14 @@
     /** Notes that @p host, zero for this one, sends a request to the endpoint @p tag. */
     void onStarted(std::uint32_t tag, std::uint32_t host, core::Instant now);
 
-    /** Notes how a request of @p host ended at the endpoint @p tag. */
-    void onEnded(std::uint32_t tag, std::uint32_t host, balance::Outcome outcome,
-                 core::Instant now);
+    /**
+     * Notes how a request of @p host ended at the endpoint @p tag.
+     *
+     * @param isRetrial whether the endpoint was chosen to try a suspect; a failure then does not
+     *        count as one of the service
+     */
+    void onEnded(std::uint32_t tag, std::uint32_t host, balance::Outcome outcome, core::Instant now,
+                 bool isRetrial = false);
 
     /** @return the service that is called @p tag in notes, or nothing when it is not known. */
     std::optional<core::ServiceName> findService(std::uint32_t tag) const;
--- a/src/upstreams/tests/bookfleet.cpp
+++ b/src/upstreams/tests/bookfleet.cpp
@@ -45,10 +45,9 @@
     }
 }
 
-std::optional<core::EndpointName> BookFleet::send(std::size_t host,
-                                                  const balance::WorkRequest &request)
+std::optional<Choice> BookFleet::send(std::size_t host, const balance::WorkRequest &request)
 {
-    const auto choice = this->books[host]->choose(request, this->now);
+    auto choice = this->books[host]->choose(request, this->now);
     if (!choice) {
         return std::nullopt;
     }
@@ -56,14 +55,15 @@
     this->tell(host, [this, tag](EndpointBook &book, std::uint32_t from) {
         book.onStarted(tag, from, this->now);
     });
-    return choice->grant.endpoint.name;
+    return choice;
 }
 
-void BookFleet::end(std::size_t host, const core::EndpointName &endpoint, balance::Outcome outcome)
+void BookFleet::end(std::size_t host, const Choice &choice, balance::Outcome outcome)
 {
-    const std::uint32_t tag = core::tagOf(endpoint.text());
-    this->tell(host, [this, tag, outcome](EndpointBook &book, std::uint32_t from) {
-        book.onEnded(tag, from, outcome, this->now);
+    const std::uint32_t tag = core::tagOf(choice.grant.endpoint.name.text());
+    const bool isRetrial = choice.isRetrial;
+    this->tell(host, [this, tag, outcome, isRetrial](EndpointBook &book, std::uint32_t from) {
+        book.onEnded(tag, from, outcome, this->now, isRetrial);
     });
 }
 
--- a/src/upstreams/tests/bookfleet.h
+++ b/src/upstreams/tests/bookfleet.h
@@ -25,10 +25,10 @@
     void advance(core::Duration step);
 
     /** Lets @p host choose for @p request and tell of the start. */
-    std::optional<core::EndpointName> send(std::size_t host, const balance::WorkRequest &request);
+    std::optional<Choice> send(std::size_t host, const balance::WorkRequest &request);
 
-    /** Lets @p host tell how its request to @p endpoint ended. */
-    void end(std::size_t host, const core::EndpointName &endpoint, balance::Outcome outcome);
+    /** Lets @p host tell how the request of @p choice ended. */
+    void end(std::size_t host, const Choice &choice, balance::Outcome outcome);
 
     /** Lets @p host tell of a request that it refused. */
     void refuse(std::size_t host, const core::ServiceName &service);
--- a/src/upstreams/tests/coldreturn_test.cpp
+++ b/src/upstreams/tests/coldreturn_test.cpp
@@ -79,7 +79,7 @@
     {
         core::Instant until;
         std::size_t host = 0;
-        core::EndpointName endpoint;
+        Choice choice;
     };
 
     bool isCold(const core::EndpointName &name) const
@@ -100,13 +100,13 @@
                 if (one.until > this->fleet.now) {
                     return false;
                 }
-                this->fleet.end(one.host, one.endpoint, balance::Outcome::Answered);
+                this->fleet.end(one.host, one.choice, balance::Outcome::Answered);
                 return true;
             });
             const std::size_t host = pickHost(random);
-            if (const auto endpoint = this->fleet.send(host, this->request)) {
-                this->sentAt[*endpoint].push_back(this->fleet.now);
-                running.push_back({ this->fleet.now + milliseconds(360), host, *endpoint });
+            if (const auto choice = this->fleet.send(host, this->request)) {
+                this->sentAt[choice->grant.endpoint.name].push_back(this->fleet.now);
+                running.push_back({ this->fleet.now + milliseconds(360), host, *choice });
             }
         }
     }
--- a/src/upstreams/tests/grayfleet.cpp
+++ b/src/upstreams/tests/grayfleet.cpp
@@ -118,12 +118,13 @@
         this->tell(host, now, [tag](EndpointBook &book, std::uint32_t from, core::Instant at) {
             book.onStarted(tag, from, at);
         });
-        this->serve(host, choice->grant.endpoint.name, tag, now);
+        this->serve(host, *choice, tag, now);
     }
 
-    void serve(std::size_t host, const core::EndpointName &name, std::uint32_t tag, double now)
+    void serve(std::size_t host, const Choice &choice, std::uint32_t tag, double now)
     {
-        GrayEndpoint &endpoint = *std::ranges::find(this->endpoints, name, &GrayEndpoint::name);
+        GrayEndpoint &endpoint =
+            *std::ranges::find(this->endpoints, choice.grant.endpoint.name, &GrayEndpoint::name);
         for (; endpoint.nextDraw <= now; endpoint.nextDraw += this->scenario.spell) {
             endpoint.isBad = this->uniform() < this->scenario.badShare;
         }
@@ -142,10 +143,12 @@
             this->latencySum += start + work - now;
         }
         const auto outcome = isFailed ? balance::Outcome::ServerError : balance::Outcome::Answered;
-        this->schedule(start + work, [this, host, tag, outcome](double at) {
+        const bool isRetrial = choice.isRetrial;
+        this->schedule(start + work, [this, host, tag, outcome, isRetrial](double at) {
             this->tell(host, at,
-                       [tag, outcome](EndpointBook &book, std::uint32_t from, core::Instant when) {
-                           book.onEnded(tag, from, outcome, when);
+                       [tag, outcome, isRetrial](EndpointBook &book, std::uint32_t from,
+                                                 core::Instant when) {
+                           book.onEnded(tag, from, outcome, when, isRetrial);
                        });
         });
     }
