upstreams: the floor of endpoints in use, for large services and closing faults

Cause, three of them, each with a test that fails without its change: - While many requests are not served, every endpoint must be used, but the share of requests spent on idle ones followed the share of idle ones one to one: with about one request a second for each endpoint that is too slow (0.67 of the endpoints in use). - An endpoint that failed rested for 2.8 s also then.

Change: three times the share; no longer rest while many requests are not served; work that may be repeated keeps the floor at all times, with a rest of 2.8 s, since a failure there costs a repetition only. A request that has failed once is never spent on a trial.

--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -20,6 +20,7 @@
 constexpr core::Duration FullFor = std::chrono::milliseconds(300);
 constexpr int LatencyMemory = 16; // answers that the moving average spans
 constexpr int LatencyPrior = 2; // answers that the first guess counts for
+constexpr double FloorGain = 3; // share of the requests for idle endpoints, by the share of those
 constexpr double ShedWeight = 0.3; // a refusal of work is a hint of a bad spell only
 
 bool isFailure(balance::Outcome outcome)
@@ -154,8 +155,8 @@
     this->shareOutCold(entry, now);
 }
 
-// News of other hosts' requests comes too late when many hosts find a cold endpoint idle at the same
-// moment, so that a few hosts use it, each within its own part of the rate.
+// News of other hosts' requests comes too late when many hosts find a cold endpoint idle at the
+// same moment, so that a few hosts use it, each within its own part of the rate.
 void EndpointBook::shareOutCold(Entry &entry, core::Instant now)
 {
     const auto bounds = this->services.find(entry.facts.service);
@@ -164,12 +165,10 @@
         entry.ownColdBucket.reset();
         return;
     }
-    const auto sharers =
-        static_cast<double>(std::min(this->hosts.size(), this->model.coldHosts));
-    const limits::BucketSize size {
-        bounds->second.coldRatePerSecond * this->model.coldRateUsed / sharers,
-        std::max(this->model.coldBurst / sharers, 1.0)
-    };
+    const auto sharers = static_cast<double>(std::min(this->hosts.size(), this->model.coldHosts));
+    const limits::BucketSize size { bounds->second.coldRatePerSecond * this->model.coldRateUsed
+                                        / sharers,
+                                    std::max(this->model.coldBurst / sharers, 1.0) };
     if (entry.ownColdBucket) {
         entry.ownColdBucket->resize(size, now);
         return;
@@ -185,9 +184,9 @@
     Entry *idle = nullptr;
     int usableCount = 0;
     int idleCount = 0;
-    const auto share = this->served.find(request.service);
-    const bool isFloorNeeded =
-        share != this->served.end() && share->second.unserved(now) > this->model.floorAbove;
+    // A request that may be repeated loses little at a suspect, and shows early that it is sound.
+    const bool isMuchUnserved = this->isMuchUnserved(request.service, now);
+    const bool isFloorNeeded = isMuchUnserved || request.isRepeatable;
     std::uniform_real_distribution<double> unit(0, 1);
     for (auto &[name, entry] : this->entries) {
         if (!this->isUsable(entry, request, now)) {
@@ -198,7 +197,7 @@
             retrial = &entry;
         }
         // Any of the idle ones with the same chance: hosts that choose at the same time differ.
-        if (isFloorNeeded && this->isIdleTooLong(entry, now)
+        if (isFloorNeeded && this->isIdleTooLong(entry, isMuchUnserved, now)
             && unit(this->random) * ++idleCount < 1) {
             idle = &entry;
         }
@@ -211,11 +210,14 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    const double idleShare = static_cast<double>(idleCount) / usableCount;
-    const bool isForFloor =
-        idle != nullptr && unit(this->random) < std::max(this->model.floorPick, idleShare);
+    const double idlePick = FloorGain * idleCount / usableCount;
+    // A request that has failed once is not spent on a trial.
+    const bool isFirst = request.excluded.empty();
+    const bool isForFloor = isFirst && idle != nullptr
+        && unit(this->random) < std::max(this->model.floorPick, idlePick);
     const bool isRetrial = isForFloor
-        || (retrial != nullptr && best != retrial && unit(this->random) < this->model.retrialShare);
+        || (isFirst && retrial != nullptr && best != retrial
+            && unit(this->random) < this->model.retrialShare);
     Entry &chosen = isForFloor ? *idle : isRetrial ? *retrial : *best;
     if (now < chosen.coldUntil && chosen.coldBucket && chosen.ownColdBucket) {
         chosen.coldBucket->tryTake(now);
@@ -347,11 +349,17 @@
         && entry.coldBucket->hasToken(now);
 }
 
+bool EndpointBook::isMuchUnserved(const core::ServiceName &service, core::Instant now) const
+{
+    const auto share = this->served.find(service);
+    return share != this->served.end() && share->second.unserved(now) > this->model.floorAbove;
+}
+
 // While many requests are not served, suspects are a part of the capacity that must be in use.
-bool EndpointBook::isIdleTooLong(const Entry &entry, core::Instant now) const
+bool EndpointBook::isIdleTooLong(const Entry &entry, bool isMuchUnserved, core::Instant now) const
 {
-    return now - entry.usedAt
-        > (entry.hasFailedLast ? this->model.floorRest : this->model.floorIdle);
+    const bool isResting = entry.hasFailedLast && !isMuchUnserved;
+    return now - entry.usedAt > (isResting ? this->model.floorRest : this->model.floorIdle);
 }
 
 bool EndpointBook::isRetrialDue(const Entry &entry, core::Instant now) const
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -71,7 +71,8 @@
     core::Duration lostAfter = std::chrono::seconds(8); //!< a start without an end is forgotten
     double floorAbove = 0.1; //!< share of unserved requests from which every endpoint is used
     core::Duration floorIdle = std::chrono::milliseconds(1300); //!< longest without a request then
-    core::Duration floorRest = std::chrono::milliseconds(2800); //!< the same after a failure
+    core::Duration floorRest = std::chrono::milliseconds(2800); //!< after a failure, while few
+                                                                //!< requests are not served
     double floorPick = 0.3; //!< least share of the requests while an endpoint is idle too long
     double coldRateUsed = 0.8; //!< share of what a cold endpoint bears
     double coldBurst = 2; //!< requests
@@ -116,8 +117,8 @@
      *        registration that is missing before that is kept until it is
      * @return what changed
      */
-    std::vector<EndpointChange> setEndpoints(std::span<const RegisteredEndpoint> endpoints, bool isSettled,
-                                             core::Instant now);
+    std::vector<EndpointChange> setEndpoints(std::span<const RegisteredEndpoint> endpoints,
+                                             bool isSettled, core::Instant now);
 
     /** @return an endpoint for @p request, or nothing when none may take it. */
     std::optional<Choice> choose(const balance::WorkRequest &request, core::Instant now);
@@ -190,7 +191,8 @@
     void takeColdTime(Entry &entry, core::Instant now);
     void shareOutCold(Entry &entry, core::Instant now);
     bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
-    bool isIdleTooLong(const Entry &entry, core::Instant now) const;
+    bool isMuchUnserved(const core::ServiceName &service, core::Instant now) const;
+    bool isIdleTooLong(const Entry &entry, bool isMuchUnserved, core::Instant now) const;
     bool isRetrialDue(const Entry &entry, core::Instant now) const;
     double costOf(Entry &entry, const balance::WorkRequest &request, core::Instant now);
     double lateCost(const balance::WorkRequest &request, double rounds) const;
--- a/src/upstreams/tests/endpointbook_test.cpp
+++ b/src/upstreams/tests/endpointbook_test.cpp
@@ -260,6 +260,47 @@
     EXPECT_GT(this->chooseMany(100)["a"], 20);
 }
 
+TEST_F(EndpointBook_Tests, Choose_ManyRequestsFailAtOnce_SuspectsAreUsedAgain)
+{
+    // [GIVEN] A suspect that failed three seconds ago, and a hundred requests served since
+    this->list({ endpoint("a"), endpoint("b"), endpoint("suspect") });
+    for (int i = 0; i < 4; ++i) {
+        this->end("suspect", balance::Outcome::ServerError);
+    }
+    for (int i = 0; i < 100; ++i) {
+        this->now += milliseconds(30);
+        this->end("a", balance::Outcome::Answered);
+    }
+    EXPECT_EQ(this->chooseMany(50)["suspect"], 0);
+
+    // [WHEN] All requests that are under way at another endpoint fail together
+    for (int i = 0; i < 30; ++i) {
+        this->book.onStarted(core::tagOf("b"), 1, this->now);
+    }
+    for (int i = 0; i < 30; ++i) {
+        this->book.onEnded(core::tagOf("b"), 1, balance::Outcome::BrokenOff, this->now);
+    }
+
+    // [THEN] Each of them counts: more than a tenth is not served, and every endpoint is in use
+    EXPECT_GT(this->chooseMany(50)["suspect"], 0);
+}
+
+TEST_F(EndpointBook_Tests, Choose_RequestThatFailedOnce_IsNotSpentOnATrial)
+{
+    // [GIVEN] A suspect that is due for a trial by work that may be repeated
+    this->list({ endpoint("a"), endpoint("b"), endpoint("suspect") });
+    for (int i = 0; i < 4; ++i) {
+        this->end("suspect", balance::Outcome::ServerError);
+    }
+    this->now += seconds(4);
+    this->request.isRepeatable = true;
+    EXPECT_GT(this->chooseMany(50)["suspect"], 0);
+
+    // [THEN] A request that has failed at another endpoint goes to a sound one
+    this->request.excluded = { core::EndpointName("a") };
+    EXPECT_EQ(this->chooseMany(50)["suspect"], 0);
+}
+
 TEST_F(EndpointBook_Tests, Choose_OwnDomain_GoesFirstAmongEqualOnes)
 {
     auto far = endpoint("b");
--- a/src/upstreams/tests/floor_test.cpp
+++ b/src/upstreams/tests/floor_test.cpp
@@ -18,7 +18,8 @@
 
 constexpr double FloorShare = 0.7; // of the endpoints that have not failed lately
 constexpr seconds Window { 2 };
-constexpr seconds SoundAfter { 2 }; // an endpoint that failed counts again from then on
+constexpr seconds NoRest { 0 }; // an endpoint that failed before a window counts in it
+constexpr seconds Rest { 2 }; // the same, but it may rest for so long after a failure
 
 std::string nameOf(int index)
 {
@@ -33,15 +34,16 @@
     int badEndpoints = 5;
     milliseconds noteDelay { 0 };
     std::chrono::microseconds gap { 20000 }; //!< between two requests
+    bool isRepeatable = false;
 };
 
 /** A service whose bad endpoints fail everything, while a quarter of its requests is refused. */
 class TroubledService
 {
 public:
-    explicit TroubledService(const Load &load = {})
-        : load(load), fleet(load.hosts, load.noteDelay)
+    explicit TroubledService(const Load &load = {}) : load(load), fleet(load.hosts, load.noteDelay)
     {
+        this->request.isRepeatable = load.isRepeatable;
         std::vector<RegisteredEndpoint> list;
         for (int i = 0; i < this->load.endpoints; ++i) {
             RegisteredEndpoint facts;
@@ -68,28 +70,33 @@
                 this->fleet.refuse(host, this->request.service);
                 continue;
             }
-            const auto endpoint = this->fleet.send(host, this->request);
-            ASSERT_TRUE(endpoint);
-            const bool isBad = this->badNames.contains(endpoint->text());
-            this->fleet.end(host, *endpoint,
+            const auto choice = this->fleet.send(host, this->request);
+            ASSERT_TRUE(choice);
+            const std::string &name = choice->grant.endpoint.name.text();
+            const bool isBad = this->badNames.contains(name);
+            this->fleet.end(host, *choice,
                             isBad ? balance::Outcome::ServerError : balance::Outcome::Answered);
-            this->usedAt[endpoint->text()].push_back(this->now());
+            this->usedAt[name].push_back(this->now());
             if (isBad) {
-                this->failedAt[endpoint->text()].push_back(this->now());
+                this->failedAt[name].push_back(this->now());
             }
         }
     }
 
-    /** @return the least share of sound endpoints in use in any window after the first seconds. */
-    double leastShareInUse(core::Instant from) const
+    /**
+     * @return the least share in use in any window after @p from, of the endpoints that have not
+     *         failed in it or in the time of @p rest before
+     */
+    double leastShareInUse(core::Instant from, seconds rest) const
     {
         double least = 1;
-        for (core::Instant start = from; start + Window <= this->now(); start += milliseconds(100)) {
+        for (core::Instant start = from; start + Window <= this->now();
+             start += milliseconds(100)) {
             int sound = 0;
             int used = 0;
             for (int i = 0; i < this->load.endpoints; ++i) {
                 const std::string name = nameOf(i);
-                if (this->isAnyIn(this->failedAt, name, start - SoundAfter, start + Window)) {
+                if (this->isAnyIn(this->failedAt, name, start - rest, start + Window)) {
                     continue;
                 }
                 ++sound;
@@ -148,8 +155,8 @@
     const core::Instant from = service.now();
     service.play(seconds(20), true);
 
-    // [THEN] In any window enough of the endpoints that have not failed lately are in use
-    EXPECT_GE(service.leastShareInUse(from), FloorShare);
+    // [THEN] In any window enough of the endpoints are in use
+    EXPECT_GE(service.leastShareInUse(from, NoRest), FloorShare);
 }
 
 TEST(Floor_Tests, Choose_ManyHostsHearLate_KeepsTheFloorOfEndpointsInUse)
@@ -168,8 +175,45 @@
     const core::Instant from = service.now();
     service.play(seconds(20), true);
 
-    // [THEN] In any window enough of the endpoints that have not failed lately are in use
-    EXPECT_GE(service.leastShareInUse(from), FloorShare);
+    // [THEN] In any window enough of the endpoints are in use
+    EXPECT_GE(service.leastShareInUse(from, NoRest), FloorShare);
+}
+
+TEST(Floor_Tests, Choose_OneRequestASecondForEachEndpoint_KeepsTheFloorOfEndpointsInUse)
+{
+    // [GIVEN] A large fleet with hardly more requests than endpoints in a window
+    Load load;
+    load.hosts = 102;
+    load.endpoints = 116;
+    load.badEndpoints = 35;
+    load.noteDelay = milliseconds(100);
+    load.gap = std::chrono::microseconds(7200);
+    load.isRepeatable = true;
+    TroubledService service(load);
+    service.play(seconds(4), true);
+
+    // [WHEN] A quarter of the requests is refused for long
+    const core::Instant from = service.now();
+    service.play(seconds(20), true);
+
+    // [THEN] In any window enough of the endpoints are in use
+    EXPECT_GE(service.leastShareInUse(from, NoRest), FloorShare);
+}
+
+TEST(Floor_Tests, Choose_RepeatableWork_KeepsTheFloorAlsoWhileAllIsServed)
+{
+    // [GIVEN] Suspects of a service whose requests may be repeated, and nothing refused
+    Load load;
+    load.isRepeatable = true;
+    TroubledService service(load);
+    service.play(seconds(4), false);
+
+    // [WHEN] Twenty seconds pass, at whose end all hosts might lose power
+    const core::Instant from = service.now();
+    service.play(seconds(20), false);
+
+    // [THEN] In any window enough of the endpoints are in use
+    EXPECT_GE(service.leastShareInUse(from, Rest), FloorShare);
 }
 
 TEST(Floor_Tests, Choose_NearlyAllServed_SuspectsAreLeftAlone)
