mirror: a large change crosses failure domains a few times only

Cause: every host asked the teller, a reader in one failure domain, for each change.

Change: PullPlan. Two hosts of each domain, the strongest first, ask across domains at once and tell their neighbours; the others wait for a near host, or 0.3 s.

--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -108,10 +108,9 @@
             beat.notes.push_back(read(note));
         }
         for (const auto vouch : root.getVouches()) {
-            beat.vouches.push_back({ toName(vouch.getAddress()),
-                                     std::chrono::milliseconds(vouch.getAgeMilliseconds()),
-                                     vouch.getIsLeaving(), vouch.getIsServing(),
-                                     vouch.getCorePercent() });
+            beat.vouches.push_back(
+                { toName(vouch.getAddress()), std::chrono::milliseconds(vouch.getAgeMilliseconds()),
+                  vouch.getIsLeaving(), vouch.getIsServing(), vouch.getCorePercent() });
         }
         return beat;
     };
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -75,6 +75,11 @@
     this->sendTo(names, this->makeBeat());
 }
 
+void FleetService::announceNear()
+{
+    this->sendTo(this->fleet.neighbours(this->clock.now()), this->makeBeat());
+}
+
 void FleetService::publish(Note note)
 {
     note.origin = this->selfTag;
--- a/src/fleet/fleettable.cpp
+++ b/src/fleet/fleettable.cpp
@@ -67,8 +67,8 @@
         if (member->state.domain == this->domain) {
             const auto age =
                 std::chrono::duration_cast<std::chrono::milliseconds>(now - member->heardAt);
-            vouches.push_back({ member->name, age, member->state.isLeaving,
-                                member->state.isServing, member->state.corePercent });
+            vouches.push_back({ member->name, age, member->state.isLeaving, member->state.isServing,
+                                member->state.corePercent });
         }
     }
     return vouches;
@@ -253,6 +253,19 @@
     return this->selfName;
 }
 
+const core::DomainName &FleetTable::ownDomain() const
+{
+    return this->domain;
+}
+
+std::optional<core::DomainName> FleetTable::domainOf(const core::HostName &name) const
+{
+    const auto found = this->entries.find(name);
+    return found == this->entries.end() || !found->second.isHeard
+        ? std::nullopt
+        : std::optional(found->second.member.state.domain);
+}
+
 bool FleetTable::isHubCandidate(const Entry &entry, core::Instant now) const
 {
     return this->isEntryLive(entry, now) && entry.member.state.domain == this->domain
--- a/src/fleet/include/damaskgate/fleet/fleetservice.h
+++ b/src/fleet/include/damaskgate/fleet/fleetservice.h
@@ -54,6 +54,9 @@
     /** Tells every host the state of this one now. */
     void announce();
 
+    /** Tells the hosts of this failure domain the state of this one now. */
+    void announceNear();
+
     void publish(Note note) override;
     void addListener(Listener listener) override;
 
--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -104,6 +104,12 @@
 
     const core::HostName &self() const;
 
+    /** @return the failure domain of this host. */
+    const core::DomainName &ownDomain() const;
+
+    /** @return the failure domain of @p name; nothing when it is not known. */
+    std::optional<core::DomainName> domainOf(const core::HostName &name) const;
+
 private:
     struct Entry
     {
--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -19,6 +19,7 @@
 #include "damaskgate/http/httpreader.h"
 #include "damaskgate/mirror/imirrorsource.h"
 #include "damaskgate/mirror/mirror.h"
+#include "damaskgate/mirror/pullplan.h"
 #include "damaskgate/mirror/readerduty.h"
 
 namespace damaskgate::mirror {
@@ -77,9 +78,13 @@
     void onSourceReached();
     void onSourceFailed(const core::Error &error);
     void take(const Changes &changes, std::string_view from);
+    void takeFromHost(const Changes &changes, const core::HostName &host);
+    void startPull();
+    bool isNear(const core::HostName &host) const;
     void scheduleTick(std::chrono::milliseconds delay);
     void tick();
     std::vector<ReaderView> otherHosts(core::Instant now) const;
+    std::vector<ReaderView> nearHosts(core::Instant now) const;
     void updateSettled(core::Instant now);
 
     boost::asio::io_context &context;
@@ -91,6 +96,7 @@
     Listener listener;
     Mirror copy;
     ReaderDuty duty;
+    PullPlan plan;
     http::HttpReader peerReader;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer pauseTimer;
@@ -98,9 +104,7 @@
     std::optional<core::Instant> settled;
     core::Instant announcedAt;
     std::map<core::HostName, core::Instant> seenAtByHost; //!< when others reached the source
-    core::HostName teller; //!< of the highest revision heard
     core::HostName connectedTo;
-    std::uint64_t toldRevision = 0;
     int failures = 0; //!< of the source, in a row
     bool isReading = false;
     bool isPulling = false;
--- a/src/mirror/include/damaskgate/mirror/readerduty.h
+++ b/src/mirror/include/damaskgate/mirror/readerduty.h
@@ -22,8 +22,8 @@
 
 /**
  * Decides whether this host reads from the source itself. A few hosts do, found by rank among the
- * strongest first; the others are told by them. A host steps in when too few of those before it in rank reach the source, after
- * a delay that rises with its rank.
+ * strongest first; the others are told by them. A host steps in when too few of those before it in
+ * rank reach the source, after a delay that rises with its rank.
  */
 class ReaderDuty
 {
@@ -37,6 +37,9 @@
     /** @param corePercent of a processor core that this host may use */
     explicit ReaderDuty(core::HostName self, std::uint8_t corePercent = 0);
 
+    /** @return how many of @p others go before this host in rank. */
+    std::size_t rankAmong(std::span<const ReaderView> others) const;
+
     /** @return whether this host should read now. */
     bool shouldRead(std::span<const ReaderView> others, core::Instant now);
 
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -35,8 +35,8 @@
     : context(dependencies.context), clock(dependencies.clock), events(dependencies.events),
       fleet(dependencies.fleet), source(dependencies.source), peerPort(peerPort),
       duty(this->fleet.table().self(), corePercent),
-      peerReader(this->context, { PeerTimeout, MaxPeerBytes }),
-      tickTimer(this->context), pauseTimer(this->context)
+      peerReader(this->context, { PeerTimeout, MaxPeerBytes }), tickTimer(this->context),
+      pauseTimer(this->context)
 {
     this->fleet.addHeardListener([this](const fleet::Member &member) { this->onHeard(member); });
 }
@@ -94,6 +94,8 @@
 {
     const core::Instant now = this->clock.now();
     this->updateSettled(now);
+    this->plan.setPullingFar(this->duty.rankAmong(this->nearHosts(now)) < PullPlan::FarPullers);
+    this->startPull();
     if (this->isReading) {
         if (now - this->announcedAt >= AnnounceInterval) {
             this->announcedAt = now;
@@ -123,6 +125,13 @@
     return others;
 }
 
+std::vector<ReaderView> MirrorService::nearHosts(core::Instant now) const
+{
+    std::vector<ReaderView> near = this->otherHosts(now);
+    std::erase_if(near, [this](const ReaderView &other) { return !this->isNear(other.name); });
+    return near;
+}
+
 void MirrorService::updateSettled(core::Instant now)
 {
     const auto isFresh = [now](const auto &item) {
@@ -231,13 +240,17 @@
     } else {
         this->seenAtByHost.erase(member.name);
     }
-    if (member.state.dataRevision <= this->copy.contentRevision()
-        || member.state.dataRevision < this->toldRevision) {
-        return;
-    }
-    this->toldRevision = member.state.dataRevision;
-    this->teller = member.name;
-    if (!this->isPulling) {
+    this->plan.onTold(member.name, member.state.dataRevision,
+                      member.state.domain == this->fleet.table().ownDomain(),
+                      this->copy.contentRevision(), this->clock.now());
+    this->startPull();
+}
+
+void MirrorService::startPull()
+{
+    const bool isDue =
+        this->plan.hostToAsk(this->copy.contentRevision(), this->clock.now()).has_value();
+    if (isDue && !this->isPulling) {
         this->isPulling = true;
         asio::co_spawn(this->context, this->pull(), asio::detached);
     }
@@ -245,25 +258,39 @@
 
 asio::awaitable<void> MirrorService::pull()
 {
-    while (this->toldRevision > this->copy.contentRevision() && !this->isStopped) {
-        const core::HostName host = this->teller;
-        const auto changes = co_await this->askHost(host);
-        if (!changes) {
-            this->events.record(
-                { "peer-read-failed",
-                  { { "host", host.text() }, { "detail", changes.error().detail } } });
-            this->toldRevision = this->copy.contentRevision();
+    while (!this->isStopped) {
+        const auto host = this->plan.hostToAsk(this->copy.contentRevision(), this->clock.now());
+        if (!host) {
             break;
         }
-        const std::uint64_t before = this->copy.contentRevision();
-        this->take(*changes, host.text());
-        if (this->copy.contentRevision() == before) {
-            this->toldRevision = before;
+        const auto changes = co_await this->askHost(*host);
+        if (changes) {
+            this->takeFromHost(*changes, *host);
+            continue;
         }
+        this->events.record({ "peer-read-failed",
+                              { { "host", host->text() }, { "detail", changes.error().detail } } });
+        this->plan.onFailed(*host);
     }
     this->isPulling = false;
 }
 
+void MirrorService::takeFromHost(const Changes &changes, const core::HostName &host)
+{
+    const std::uint64_t before = this->copy.contentRevision();
+    this->take(changes, host.text());
+    if (this->copy.contentRevision() == before) {
+        this->plan.onFailed(host);
+    } else if (!this->isNear(host)) {
+        this->fleet.announceNear();
+    }
+}
+
+bool MirrorService::isNear(const core::HostName &host) const
+{
+    return this->fleet.table().domainOf(host) == this->fleet.table().ownDomain();
+}
+
 asio::awaitable<core::Result<Changes>> MirrorService::askHost(const core::HostName &host)
 {
     if (this->connectedTo != host) {
--- /dev/null
+++ b/src/mirror/pullplan.cpp
@@ -0,0 +1,42 @@
+#include "damaskgate/mirror/pullplan.h"
+
+namespace damaskgate::mirror {
+
+void PullPlan::setPullingFar(bool isPullingFar)
+{
+    this->isPullingFar = isPullingFar;
+}
+
+void PullPlan::onTold(const core::HostName &host, std::uint64_t revision, bool isNear,
+                      std::uint64_t held, core::Instant now)
+{
+    std::optional<Offer> &offer = isNear ? this->near : this->far;
+    if (revision <= held || (offer && revision < offer->revision)) {
+        return;
+    }
+    const bool isStillLacking = offer && offer->revision > held;
+    offer = Offer { host, revision, isStillLacking ? offer->since : now };
+}
+
+void PullPlan::onFailed(const core::HostName &host)
+{
+    for (std::optional<Offer> *offer : { &this->near, &this->far }) {
+        if (*offer && (*offer)->host == host) {
+            offer->reset();
+        }
+    }
+}
+
+std::optional<core::HostName> PullPlan::hostToAsk(std::uint64_t held, core::Instant now) const
+{
+    if (this->near && this->near->revision > held) {
+        return this->near->host;
+    }
+    const bool isFarLacking = this->far && this->far->revision > held;
+    if (isFarLacking && (this->isPullingFar || now - this->far->since >= FarDelay)) {
+        return this->far->host;
+    }
+    return std::nullopt;
+}
+
+} // namespace damaskgate::mirror
--- a/src/mirror/readerduty.cpp
+++ b/src/mirror/readerduty.cpp
@@ -34,6 +34,11 @@
     return before;
 }
 
+std::size_t ReaderDuty::rankAmong(std::span<const ReaderView> others) const
+{
+    return this->hostsBefore(others).size();
+}
+
 bool ReaderDuty::shouldRead(std::span<const ReaderView> others, core::Instant now)
 {
     const std::set<core::HostName> before = this->hostsBefore(others);
--- a/src/mirror/tests/mirror_test.cpp
+++ b/src/mirror/tests/mirror_test.cpp
@@ -81,7 +81,8 @@
 
 TEST(Mirror_Tests, ChangesSince_WholeCopyWithALaterItem_LeavesNoGapAtAnotherHost)
 {
-    // [GIVEN] A copy of revision 5 whose later page held an item of revision 8, and a host told of it
+    // [GIVEN] A copy of revision 5 whose later page held an item of revision 8, and a host told of
+    // it
     Mirror reader;
     Mirror told;
     reader.apply(whole(5, { { "a", "1", 2 }, { "b", "2", 8 } }));
--- a/src/mirror/tests/readerduty_test.cpp
+++ b/src/mirror/tests/readerduty_test.cpp
@@ -54,9 +54,8 @@
     const std::size_t last = this->hosts.size() - 1;
     auto others = this->viewOf(0, 0);
     for (ReaderView &other : others) {
-        other.corePercent = other.name == this->hosts[last] || other.name == this->hosts[last - 1]
-            ? 50
-            : 10;
+        other.corePercent =
+            other.name == this->hosts[last] || other.name == this->hosts[last - 1] ? 50 : 10;
     }
 
     // [THEN] They read at once, the first in rank only when they do not
