fleet: notes cross failure domains from the hubs only

Cause: each host sent its own notes to a host of each other domain, one or two in a datagram, with the whole envelope around them.

Change: NoteQueues, a pure class: notes go to the hub of the domain, the hub hands them to its domain and to one host of each other one. What is lost with a killed hub for half a second is now lost to the other domains too.

--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -93,7 +93,7 @@
         beat.state.isLeaving = root.getIsLeaving();
         beat.state.isServing = root.getIsServing();
         beat.isAsking = root.getIsAsking();
-        beat.spread = root.getSpread() > static_cast<std::uint8_t>(Spread::Domain)
+        beat.spread = root.getSpread() > static_cast<std::uint8_t>(Spread::Fleet)
             ? Spread::Done
             : static_cast<Spread>(root.getSpread());
         beat.state.corePercent = root.getCorePercent();
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -7,6 +7,7 @@
 #include "damaskgate/core/hash.h"
 
 #include "fleetcodec.h"
+#include "notequeues.h"
 
 namespace damaskgate::fleet {
 
@@ -29,13 +30,15 @@
     : clock(dependencies.clock), events(dependencies.events), network(dependencies.network),
       fleet(std::move(table)), seeds(std::move(seeds)),
       selfTag(core::tagOf(this->fleet.self().text())), tickTimer(dependencies.context),
-      flushTimer(dependencies.context)
+      flushTimer(dependencies.context), notes(std::make_unique<NoteQueues>())
 {
     this->network.setHandler(peer::MessageKind::Fleet, [this](const peer::Datagram &datagram) {
         this->onDatagram(datagram);
     });
 }
 
+FleetService::~FleetService() = default;
+
 void FleetService::setStateSource(StateSource source)
 {
     this->stateSource = std::move(source);
@@ -83,7 +86,7 @@
 void FleetService::publish(Note note)
 {
     note.origin = this->selfTag;
-    this->ownNotes.push_back(note);
+    this->notes->addOwn(note);
     this->scheduleFlush();
 }
 
@@ -145,12 +148,9 @@
                                   [&note](const auto &listen) { listen(note); });
         }
     }
-    if (beat.notes.empty() || beat.spread == Spread::Done) {
-        return;
+    if (this->notes->addReceived(beat.notes, beat.spread)) {
+        this->scheduleFlush();
     }
-    auto &queue = beat.spread == Spread::Domain ? this->hubNotes : this->neighbourNotes;
-    queue.insert(queue.end(), beat.notes.begin(), beat.notes.end());
-    this->scheduleFlush();
 }
 
 void FleetService::tellKnown(const core::HostName &to)
@@ -174,19 +174,15 @@
 {
     this->isFlushScheduled = false;
     const core::Instant now = this->clock.now();
-    this->sendNotes(this->ownNotes, this->fleet.relays(now), Spread::Domain);
-    std::ranges::move(std::exchange(this->ownNotes, {}), std::back_inserter(this->hubNotes));
     const core::HostName hub = this->fleet.hub(now);
-    if (hub == this->fleet.self()) {
-        std::ranges::move(std::exchange(this->hubNotes, {}),
-                          std::back_inserter(this->neighbourNotes));
-    }
-    if (!this->hubNotes.empty()) {
-        this->sendNotes(std::exchange(this->hubNotes, {}), { &hub, 1 }, Spread::Neighbours);
-        this->fleet.onSentToHub(hub, now);
+    const NoteRoutes routes { hub, hub == this->fleet.self(), this->fleet.neighbours(now),
+                              this->fleet.relays(now) };
+    for (const NoteParcel &parcel : this->notes->take(routes)) {
+        this->sendNotes(parcel.notes, parcel.hosts, parcel.spread);
+        if (parcel.spread == Spread::Fleet || parcel.spread == Spread::Neighbours) {
+            this->fleet.onSentToHub(hub, now);
+        }
     }
-    this->sendNotes(std::exchange(this->neighbourNotes, {}), this->fleet.neighbours(now),
-                    Spread::Done);
 }
 
 void FleetService::sendNotes(std::span<const Note> notes, std::span<const core::HostName> hosts,
--- a/src/fleet/include/damaskgate/fleet/fleetservice.h
+++ b/src/fleet/include/damaskgate/fleet/fleetservice.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <random>
 #include <span>
 #include <string>
@@ -17,6 +18,8 @@
 
 namespace damaskgate::fleet {
 
+class NoteQueues;
+
 /** Finds the other hosts, follows their state and spreads notes. Lives on one thread. */
 class FleetService final : public INoteBoard
 {
@@ -35,6 +38,10 @@
 
     FleetService(const Dependencies &dependencies, FleetTable table,
                  std::vector<core::HostName> seeds);
+    ~FleetService() override;
+
+    FleetService(const FleetService &) = delete;
+    FleetService &operator=(const FleetService &) = delete;
 
     /** Sets what this host tells of itself; before start(). */
     void setStateSource(StateSource source);
@@ -93,9 +100,7 @@
     std::vector<Listener> noteListeners;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer flushTimer;
-    std::vector<Note> ownNotes; //!< for all hosts
-    std::vector<Note> hubNotes; //!< for the hub of this failure domain
-    std::vector<Note> neighbourNotes; //!< for all hosts of this failure domain
+    std::unique_ptr<NoteQueues> notes;
     std::mt19937_64 random { std::random_device {}() };
     std::size_t liveCount = 0;
     int ticks = 0;
--- a/src/fleet/include/damaskgate/fleet/fleettypes.h
+++ b/src/fleet/include/damaskgate/fleet/fleettypes.h
@@ -51,6 +51,7 @@
     Done = 0, //!< the receiver keeps them
     Neighbours = 1, //!< the receiver sends them to all hosts of its failure domain
     Domain = 2, //!< the receiver hands them to the hub of its failure domain
+    Fleet = 3, //!< the receiver sends them to its failure domain and to a host of each other one
 };
 
 /** One message between hosts. */
