upstreams: the cost of a busy endpoint rises with the square of its load

Cause: an endpoint of two slots with one request under way cost as much as an eighth of a failure, more than crossing failure domains or a doubtful endpoint. Requests left a sound endpoint of their own domain though a slot was free.

Change: the cost rises with the square of the part of the slots in use. So little then drives work to new endpoints that ColdReturn fails (not all cold endpoints used in 7 s); an endpoint that no host has tried goes first for its first 5 s.

--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -10,8 +10,12 @@
 
 namespace {
 
-constexpr double BusyCost = 0.25; // of an endpoint whose slots are all taken, in failed requests
+constexpr double BusyCost = 0.25; // of an endpoint whose slots are all taken, in failed requests;
+                                  // less by the square, since few find all slots taken by chance
 constexpr double QueueCost = 0.1; // of each round of the slots that waits before
+constexpr double UntriedGain = 0.1; // of the first request, which shows early what is new capacity
+constexpr core::Duration UntriedFor = std::chrono::seconds(5); // after it came, longer than most
+                                                               // are cold
 constexpr double LateCost = 0.7; // of an answer after its objective, of a failed request
 constexpr double LateFrom = 0.7; // part of the objective at which some answers are late
 constexpr double LateUntil = 1.3; // part of the objective at which nearly all are late
@@ -238,6 +242,7 @@
         return;
     }
     entry->running.push_back({ host, now });
+    entry->isUntried = false;
     entry->usedAt = now;
     if (entry->belief.badness(now) > this->model.suspectAbove) {
         entry->retriedAt = now;
@@ -376,8 +381,12 @@
     const auto running = static_cast<double>(entry.running.size());
     const double slots = std::max<double>(entry.facts.slots, 1);
     const double rounds = std::max(running + 1 - slots, 0.0) / slots;
-    double cost = entry.belief.failureChance(now) + BusyCost * std::min(running / slots, 1.0)
-        + QueueCost * rounds + this->lateCost(request, rounds);
+    const double busy = std::min(running / slots, 1.0);
+    double cost = entry.belief.failureChance(now) + BusyCost * busy * busy + QueueCost * rounds
+        + this->lateCost(request, rounds);
+    if (entry.isUntried && now - entry.usedAt <= UntriedFor) {
+        cost -= UntriedGain;
+    }
     if (now < entry.fullUntil) {
         cost += FullCost;
     }
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -182,8 +182,9 @@
         core::Instant coldUntil;
         core::Instant fullUntil; //!< it has refused work lately
         std::optional<core::Instant> retriedAt;
-        core::Instant usedAt; //!< when a request was last sent to it
+        core::Instant usedAt; //!< when a request was last sent to it, or it came
         bool hasFailedLast = false; //!< the last outcome that is known
+        bool isUntried = true; //!< no host has sent it a request, as far as heard
         bool isMisdirected = false; //!< another endpoint has its address
     };
 
--- a/src/upstreams/tests/bookfleet.cpp
+++ b/src/upstreams/tests/bookfleet.cpp
@@ -10,6 +10,7 @@
 BookFleet::BookFleet(int hosts, core::Duration noteDelay) : noteDelay(noteDelay)
 {
     std::vector<core::HostName> names;
+    names.reserve(static_cast<std::size_t>(hosts));
     for (int i = 0; i < hosts; ++i) {
         names.emplace_back("host-" + std::to_string(i));
     }
--- a/src/upstreams/tests/endpointbook_test.cpp
+++ b/src/upstreams/tests/endpointbook_test.cpp
@@ -285,6 +285,39 @@
     EXPECT_GT(this->chooseMany(50)["suspect"], 0);
 }
 
+TEST_F(EndpointBook_Tests, Choose_HalfBusyOwnDomain_IsUsedBesideIdleEndpointsElsewhere)
+{
+    // [GIVEN] Endpoints of two slots; the one of this domain works on one request
+    auto own = endpoint("a");
+    auto far = endpoint("b");
+    own.slots = 2;
+    far.slots = 2;
+    far.endpoint.domain = core::DomainName("south");
+    this->list({ own, far });
+    this->end("b", balance::Outcome::Answered);
+    this->book.onStarted(core::tagOf("a"), 1, this->now);
+
+    // [THEN] It is used all the same; when both its slots are taken, the other one is
+    EXPECT_GT(this->chooseMany(100)["a"], 0);
+    this->book.onStarted(core::tagOf("a"), 1, this->now);
+    EXPECT_EQ(this->chooseMany(100)["a"], 0);
+}
+
+TEST_F(EndpointBook_Tests, Choose_NewEndpoint_GetsTheNextRequest)
+{
+    // [GIVEN] An endpoint that serves, and one that came two seconds ago
+    this->list({ endpoint("a") });
+    this->end("a", balance::Outcome::Answered);
+    this->list({ endpoint("a"), endpoint("new") });
+    this->now += seconds(2);
+
+    // [THEN] It is tried once, and then taken like any other
+    EXPECT_EQ(this->chooseMany(20)["new"], 20);
+    this->end("new", balance::Outcome::Answered);
+    this->end("a", balance::Outcome::Answered);
+    EXPECT_LT(this->chooseMany(100)["new"], 80);
+}
+
 TEST_F(EndpointBook_Tests, Choose_RequestThatFailedOnce_IsNotSpentOnATrial)
 {
     // [GIVEN] A suspect that is due for a trial by work that may be repeated
--- a/src/upstreams/tests/floor_test.cpp
+++ b/src/upstreams/tests/floor_test.cpp
@@ -143,20 +143,24 @@
     Times failedAt;
 };
 
-} // namespace
-
-TEST(Floor_Tests, Choose_ManyRequestsUnserved_KeepsTheFloorOfEndpointsInUse)
+/** @return the least share in use, without a rest, while a quarter of @p load is refused for long.
+ */
+double leastShareUnderRefusals(const Load &load)
 {
-    // [GIVEN] A service with suspects, of whose requests a quarter is refused
-    TroubledService service;
+    TroubledService service(load);
     service.play(seconds(4), true);
-
-    // [WHEN] That lasts
     const core::Instant from = service.now();
     service.play(seconds(20), true);
+    return service.leastShareInUse(from, NoRest);
+}
+
+} // namespace
 
+TEST(Floor_Tests, Choose_ManyRequestsUnserved_KeepsTheFloorOfEndpointsInUse)
+{
+    // [GIVEN] A service with suspects, of whose requests a quarter is refused
     // [THEN] In any window enough of the endpoints are in use
-    EXPECT_GE(service.leastShareInUse(from, NoRest), FloorShare);
+    EXPECT_GE(leastShareUnderRefusals(Load {}), FloorShare);
 }
 
 TEST(Floor_Tests, Choose_ManyHostsHearLate_KeepsTheFloorOfEndpointsInUse)
@@ -168,15 +172,9 @@
     load.badEndpoints = 26;
     load.noteDelay = milliseconds(100);
     load.gap = std::chrono::microseconds(3600);
-    TroubledService service(load);
-    service.play(seconds(4), true);
-
-    // [WHEN] A quarter of the requests is refused for long
-    const core::Instant from = service.now();
-    service.play(seconds(20), true);
 
     // [THEN] In any window enough of the endpoints are in use
-    EXPECT_GE(service.leastShareInUse(from, NoRest), FloorShare);
+    EXPECT_GE(leastShareUnderRefusals(load), FloorShare);
 }
 
 TEST(Floor_Tests, Choose_OneRequestASecondForEachEndpoint_KeepsTheFloorOfEndpointsInUse)
@@ -189,15 +187,9 @@
     load.noteDelay = milliseconds(100);
     load.gap = std::chrono::microseconds(7200);
     load.isRepeatable = true;
-    TroubledService service(load);
-    service.play(seconds(4), true);
-
-    // [WHEN] A quarter of the requests is refused for long
-    const core::Instant from = service.now();
-    service.play(seconds(20), true);
 
     // [THEN] In any window enough of the endpoints are in use
-    EXPECT_GE(service.leastShareInUse(from, NoRest), FloorShare);
+    EXPECT_GE(leastShareUnderRefusals(load), FloorShare);
 }
 
 TEST(Floor_Tests, Choose_RepeatableWork_KeepsTheFloorAlsoWhileAllIsServed)
@@ -212,7 +204,7 @@
     const core::Instant from = service.now();
     service.play(seconds(20), false);
 
-    // [THEN] In any window enough of the endpoints are in use
+    // [THEN] In any window enough of the endpoints that have not failed lately are in use
     EXPECT_GE(service.leastShareInUse(from, Rest), FloorShare);
 }
 
