entry: an attempt that is given up resets its connection

The endpoint also worked for nobody.

Ruled out: late news of the evacuation; the host had left the domain.

Change: connections that end with something open are closed with a linger time of zero, which drops what has not arrived. Test with a raw peer: fails before (end of stream), passes after (reset).

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -85,7 +85,7 @@
 {
     this->isAborted = true;
     if (this->connection) {
-        this->connection->close();
+        this->connection->reset();
     }
     if (this->result.isAnswerStarted) {
         this->caller.cancel();
@@ -217,7 +217,7 @@
         co_return;
     }
     if (!this->bodyEnd->isSet()) {
-        this->connection->close();
+        this->connection->reset();
         this->caller.cancel();
     }
     co_await this->bodyEnd->wait();
@@ -414,7 +414,7 @@
         this->context.pool.giveBack(this->connection, this->context.now());
         return;
     }
-    this->connection->close();
+    this->connection->reset();
 }
 
 void Attempt::fail(core::Reason reason, balance::Outcome outcome, std::string detail)
--- a/src/entry/tests/rawpeer.cpp
+++ b/src/entry/tests/rawpeer.cpp
@@ -18,7 +18,6 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using boost::system::error_code;
 
 namespace {
 
@@ -81,7 +80,7 @@
 
 void RawPeer::send(std::string_view text)
 {
-    error_code ignored;
+    boost::system::error_code ignored;
     asio::write(this->socket, asio::buffer(text.data(), text.size()), ignored);
 }
 
@@ -120,7 +119,7 @@
     std::string got;
     while (!got.ends_with(text)) {
         if (this->buffer.size() == 0) {
-            error_code ec;
+            boost::system::error_code ec;
             const auto size = this->socket.read_some(this->buffer.prepare(1), ec);
             if (ec) {
                 return false;
@@ -134,25 +133,36 @@
 }
 
 bool RawPeer::isClosedByPeer()
+{
+    const boost::system::error_code ec = this->waitForEnd();
+    return ec == asio::error::eof || ec == asio::error::connection_reset;
+}
+
+bool RawPeer::isResetByPeer()
+{
+    return this->waitForEnd() == asio::error::connection_reset;
+}
+
+boost::system::error_code RawPeer::waitForEnd()
 {
     if (this->buffer.size() > 0 || !isReady(this->socket, POLLIN, PatienceMs)) {
-        return false;
+        return {};
     }
     std::array<char, 1> octet {};
-    error_code ec;
+    boost::system::error_code ec;
     this->socket.read_some(asio::buffer(octet), ec);
-    return ec == asio::error::eof || ec == asio::error::connection_reset;
+    return ec;
 }
 
 void RawPeer::closeSending()
 {
-    error_code ignored;
+    boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
 void RawPeer::close()
 {
-    error_code ignored;
+    boost::system::error_code ignored;
     this->socket.close(ignored);
 }
 
@@ -169,7 +179,7 @@
 
 WireMessage RawPeer::read(bool isRequest, bool isHead, bool isHeaderOnly)
 {
-    error_code ec;
+    boost::system::error_code ec;
     WireMessage message;
     if (isRequest) {
         http::request_parser<http::string_body> parser;
--- a/src/entry/tests/rawpeer.h
+++ b/src/entry/tests/rawpeer.h
@@ -52,12 +52,17 @@
     /** Waits for the other side to close. @return whether it did without sending anything more */
     bool isClosedByPeer();
 
+    /** Waits for the other side to end. @return whether it reset the connection */
+    bool isResetByPeer();
+
     void closeSending();
     void close();
 
     boost::asio::ip::tcp::socket &stream();
 
 private:
+    boost::system::error_code waitForEnd();
+
     static boost::asio::io_context &ioContext();
     WireMessage read(bool isRequest, bool isHead, bool isHeaderOnly);
 
--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -131,6 +131,21 @@
     EXPECT_EQ(this->balancer.reports[0].outcome, Outcome::Timeout);
 }
 
+TEST_F(Retry_Tests, LateAnswer_GivenUp_ResetsTheConnection)
+{
+    // [GIVEN] An endpoint whose connection is held up, as by a partition
+    this->balancer.patience = milliseconds(50);
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer hanging = this->first.accept();
+    RawPeer sound = answer(this->second, OkAnswer);
+    EXPECT_EQ(caller.readAnswer().body, "ok");
+
+    // [THEN] What it has not taken yet is dropped, and does not arrive when the partition heals
+    hanging.readRequestHead();
+    EXPECT_TRUE(hanging.isResetByPeer());
+}
+
 TEST_F(Retry_Tests, LateAnswer_WorkThatMayNotRepeat_IsWaitedFor)
 {
     // [GIVEN] The same, for a booking
--- a/src/entry/upstreamconnection.h
+++ b/src/entry/upstreamconnection.h
@@ -19,6 +19,17 @@
         this->socket.close(ignored);
     }
 
+    /**
+     * Closes at once and drops what was written but has not arrived. A plain close would still
+     * deliver it, also seconds later when a network partition has healed.
+     */
+    void reset()
+    {
+        error_code ignored;
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        this->close();
+    }
+
     asio::ip::tcp::socket socket;
     beast::flat_buffer buffer;
     asio::ip::tcp::endpoint remote;
