mirror: a host that starts while the source is reached knows it so

Cause: a host took the source for regained when it first heard of it, and kept removed registrations for 2.2 s more, as after an outage.

Ruled out: late news; forty hosts tell the removal within 0.4 s.

Change: SourceContact, a pure class. A contact heard of within the first second of a process counts as never lost.

--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -21,6 +21,7 @@
 #include "damaskgate/mirror/mirror.h"
 #include "damaskgate/mirror/pullplan.h"
 #include "damaskgate/mirror/readerduty.h"
+#include "damaskgate/mirror/sourcecontact.h"
 
 namespace damaskgate::mirror {
 
@@ -97,11 +98,11 @@
     Mirror copy;
     ReaderDuty duty;
     PullPlan plan;
+    SourceContact contact; //!< of all hosts
     http::HttpReader peerReader;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer pauseTimer;
     std::optional<core::Instant> reachedAt;
-    std::optional<core::Instant> settled;
     core::Instant announcedAt;
     std::map<core::HostName, core::Instant> seenAtByHost; //!< when others reached the source
     core::HostName connectedTo;
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -34,7 +34,7 @@
                              std::uint8_t corePercent)
     : context(dependencies.context), clock(dependencies.clock), events(dependencies.events),
       fleet(dependencies.fleet), source(dependencies.source), peerPort(peerPort),
-      duty(this->fleet.table().self(), corePercent),
+      duty(this->fleet.table().self(), corePercent), contact(this->clock.now()),
       peerReader(this->context, { PeerTimeout, MaxPeerBytes }), tickTimer(this->context),
       pauseTimer(this->context)
 {
@@ -71,7 +71,7 @@
 
 std::optional<core::Instant> MirrorService::settledSince() const
 {
-    return this->settled;
+    return this->contact.since();
 }
 
 std::string MirrorService::answerChanges(std::uint64_t after) const
@@ -139,12 +139,10 @@
     };
     const bool isOwnFresh = this->reachedAt && now - *this->reachedAt <= ReaderDuty::FreshFor;
     const bool isAnyFresh = isOwnFresh || std::ranges::any_of(this->seenAtByHost, isFresh);
-    if (isAnyFresh == this->settled.has_value()) {
-        return;
+    if (this->contact.update(isAnyFresh, now)) {
+        this->events.record({ isAnyFresh ? "source-regained" : "source-lost",
+                              { { "revision", this->copy.revision() } } });
     }
-    this->events.record({ isAnyFresh ? "source-regained" : "source-lost",
-                          { { "revision", this->copy.revision() } } });
-    this->settled = isAnyFresh ? std::optional(now) : std::nullopt;
 }
 
 asio::awaitable<void> MirrorService::readWhileOnDuty()
