upstreams: an endpoint's tag is kept with it, choosing is split in two

The usual time to an answer was looked up for each endpoint of the service, it is the same for all of one choice. EndpointBook::choose had grown to sixty lines; the pass over the endpoints is findCandidates. Random numbers are drawn in the same order.

--- a/src/upstreams/endpointbook.cpp
+++ b/src/upstreams/endpointbook.cpp
@@ -41,6 +41,12 @@
         < std::pair(held.startedAtMillis, held.sequence);
 }
 
+// What it costs that an answer comes after @p part of its objective.
+double lateCost(double part)
+{
+    return LateCost * std::clamp((part - LateFrom) / (LateUntil - LateFrom), 0.0, 1.0);
+}
+
 } // namespace
 
 std::string_view toText(EndpointChange::Kind kind)
@@ -105,9 +111,9 @@
         return true;
     };
     std::erase_if(this->entries, isGone);
-    this->namesByTag.clear();
-    for (const auto &[name, entry] : this->entries) {
-        this->namesByTag.emplace(core::tagOf(name.text()), name);
+    this->entriesByTag.clear();
+    for (auto &[name, entry] : this->entries) {
+        this->entriesByTag.emplace(entry.tag, &entry);
     }
     return changes;
 }
@@ -132,7 +138,16 @@
     if (!isSameStart) {
         const EndpointBelief fresh(this->model.belief, now);
         this->entries.insert_or_assign(facts.endpoint.name,
-                                       Entry { facts, fresh, {}, {}, {}, {}, {}, {}, now });
+                                       Entry { facts,
+                                               core::tagOf(facts.endpoint.name.text()),
+                                               fresh,
+                                               {},
+                                               {},
+                                               {},
+                                               {},
+                                               {},
+                                               {},
+                                               now });
     }
     Entry &entry = this->entries.at(facts.endpoint.name);
     entry.facts = facts;
@@ -164,8 +179,7 @@
 void EndpointBook::shareOutCold(Entry &entry, core::Instant now)
 {
     const auto bounds = this->services.find(entry.facts.service);
-    const std::uint32_t tag = core::tagOf(entry.facts.endpoint.name.text());
-    if (bounds == this->services.end() || this->hosts.rankFor(tag) >= this->model.coldHosts) {
+    if (bounds == this->services.end() || this->hosts.rankFor(entry.tag) >= this->model.coldHosts) {
         entry.ownColdBucket.reset();
         return;
     }
@@ -182,15 +196,43 @@
 
 std::optional<Choice> EndpointBook::choose(const balance::WorkRequest &request, core::Instant now)
 {
-    Entry *best = nullptr;
+    const Candidates found = this->findCandidates(request, now);
+    if (found.best == nullptr) {
+        return std::nullopt;
+    }
+    std::uniform_real_distribution<double> unit(0, 1);
+    // A request that has failed once is not spent on a trial.
+    const bool isFirst = request.excluded.empty();
+    const bool isForFloor = isFirst && found.idle != nullptr
+        && unit(this->random) < std::max(this->model.floorPick, FloorGain * found.idleShare);
+    const bool isRetrial = isForFloor
+        || (isFirst && found.retrial != nullptr && found.best != found.retrial
+            && unit(this->random) < this->model.retrialShare);
+    Entry &chosen = isForFloor ? *found.idle : isRetrial ? *found.retrial : *found.best;
+    if (now < chosen.coldUntil && chosen.coldBucket && chosen.ownColdBucket) {
+        chosen.coldBucket->tryTake(now);
+        chosen.ownColdBucket->tryTake(now);
+    }
+    return Choice { { 0, chosen.facts.service, chosen.facts.endpoint },
+                    chosen.tag,
+                    chosen.belief.badness(now),
+                    chosen.running.size(),
+                    isRetrial,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        now - chosen.belief.updated()) };
+}
+
+EndpointBook::Candidates EndpointBook::findCandidates(const balance::WorkRequest &request,
+                                                      core::Instant now)
+{
+    Candidates found;
     double bestCost = 0;
-    Entry *retrial = nullptr;
-    Entry *idle = nullptr;
     int usableCount = 0;
     int idleCount = 0;
     // A request that may be repeated loses little at a suspect, and shows early that it is sound.
     const bool isMuchUnserved = this->isMuchUnserved(request.service, now);
     const bool isFloorNeeded = isMuchUnserved || request.isRepeatable;
+    const std::optional<double> usualPart = this->usualPartOf(request);
     std::uniform_real_distribution<double> unit(0, 1);
     for (auto &[name, entry] : this->entries) {
         if (!this->isUsable(entry, request, now)) {
@@ -198,41 +240,21 @@
         }
         ++usableCount;
         if (this->isRetrialDue(entry, now)) {
-            retrial = &entry;
+            found.retrial = &entry;
         }
         // Any of the idle ones with the same chance: hosts that choose at the same time differ.
         if (isFloorNeeded && this->isIdleTooLong(entry, isMuchUnserved, now)
             && unit(this->random) * ++idleCount < 1) {
-            idle = &entry;
+            found.idle = &entry;
         }
-        const double cost = this->costOf(entry, request, now) + TieSpread * unit(this->random);
-        if (best == nullptr || cost < bestCost) {
-            best = &entry;
+        const double cost = this->costOf(entry, usualPart, now) + TieSpread * unit(this->random);
+        if (found.best == nullptr || cost < bestCost) {
+            found.best = &entry;
             bestCost = cost;
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
-    }
-    const double idlePick = FloorGain * idleCount / usableCount;
-    // A request that has failed once is not spent on a trial.
-    const bool isFirst = request.excluded.empty();
-    const bool isForFloor = isFirst && idle != nullptr
-        && unit(this->random) < std::max(this->model.floorPick, idlePick);
-    const bool isRetrial = isForFloor
-        || (isFirst && retrial != nullptr && best != retrial
-            && unit(this->random) < this->model.retrialShare);
-    Entry &chosen = isForFloor ? *idle : isRetrial ? *retrial : *best;
-    if (now < chosen.coldUntil && chosen.coldBucket && chosen.ownColdBucket) {
-        chosen.coldBucket->tryTake(now);
-        chosen.ownColdBucket->tryTake(now);
-    }
-    return Choice { { 0, chosen.facts.service, chosen.facts.endpoint },
-                    chosen.belief.badness(now),
-                    chosen.running.size(),
-                    isRetrial,
-                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                        now - chosen.belief.updated()) };
+    found.idleShare = usableCount == 0 ? 0 : static_cast<double>(idleCount) / usableCount;
+    return found;
 }
 
 void EndpointBook::onStarted(std::uint32_t tag, std::uint32_t host, core::Instant now)
@@ -331,11 +353,8 @@
 
 std::optional<core::ServiceName> EndpointBook::serviceOf(std::uint32_t tag) const
 {
-    const auto name = this->namesByTag.find(tag);
-    if (name == this->namesByTag.end()) {
-        return std::nullopt;
-    }
-    return this->entries.at(name->second).facts.service;
+    const Entry *entry = this->findByTag(tag);
+    return entry == nullptr ? std::nullopt : std::optional(entry->facts.service);
 }
 
 bool EndpointBook::isUsable(Entry &entry, const balance::WorkRequest &request,
@@ -375,7 +394,7 @@
         && entry.running.empty();
 }
 
-double EndpointBook::costOf(Entry &entry, const balance::WorkRequest &request, core::Instant now)
+double EndpointBook::costOf(Entry &entry, std::optional<double> usualPart, core::Instant now)
 {
     this->forgetLostStarts(entry, now);
     const auto running = static_cast<double>(entry.running.size());
@@ -383,7 +402,7 @@
     const double rounds = std::max(running + 1 - slots, 0.0) / slots;
     const double busy = std::min(running / slots, 1.0);
     double cost = entry.belief.failureChance(now) + BusyCost * busy * busy + QueueCost * rounds
-        + this->lateCost(request, rounds);
+        + (usualPart ? lateCost(*usualPart * (1 + rounds)) : 0);
     if (entry.isUntried && now - entry.usedAt <= UntriedFor) {
         cost -= UntriedGain;
     }
@@ -396,17 +415,15 @@
     return cost;
 }
 
-// What it costs that an answer comes late, after waiting for so many rounds of the usual time.
-double EndpointBook::lateCost(const balance::WorkRequest &request, double rounds) const
+// The usual time to an answer as a part of the objective.
+std::optional<double> EndpointBook::usualPartOf(const balance::WorkRequest &request) const
 {
     const auto usual = this->usualLatency(request);
     if (!usual || request.latencyObjective <= core::Duration::zero()) {
-        return 0;
+        return std::nullopt;
     }
     using Seconds = std::chrono::duration<double>;
-    const double part =
-        Seconds(*usual).count() * (1 + rounds) / Seconds(request.latencyObjective).count();
-    return LateCost * std::clamp((part - LateFrom) / (LateUntil - LateFrom), 0.0, 1.0);
+    return Seconds(*usual) / Seconds(request.latencyObjective);
 }
 
 void EndpointBook::forgetLostStarts(Entry &entry, core::Instant now) const
@@ -416,13 +433,10 @@
     }
 }
 
-EndpointBook::Entry *EndpointBook::findByTag(std::uint32_t tag)
+EndpointBook::Entry *EndpointBook::findByTag(std::uint32_t tag) const
 {
-    const auto name = this->namesByTag.find(tag);
-    if (name == this->namesByTag.end()) {
-        return nullptr;
-    }
-    return &this->entries.at(name->second);
+    const auto found = this->entriesByTag.find(tag);
+    return found == this->entriesByTag.end() ? nullptr : found->second;
 }
 
 } // namespace damaskgate::upstreams
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -42,13 +42,13 @@
         done(tl::unexpected(std::move(error)));
         return 0;
     }
-    const std::uint32_t tag = core::tagOf(choice->grant.endpoint.name.text());
+    const std::uint32_t tag = choice->tag;
     choice->grant.id = ++this->lastGrant;
     if (const auto usual = this->dependencies.book.usualLatency(request)) {
         choice->grant.patience = *usual * LateFactor + LateMargin;
     }
     const std::uint64_t id = choice->grant.id;
-    this->held.emplace(id, Held { tag, request, *choice });
+    this->held.emplace(id, Held { request, *choice });
     this->dependencies.book.onStarted(tag, 0, now);
     const bool isFurther = !request.excluded.empty();
     const std::uint32_t account =
@@ -71,7 +71,7 @@
     }
     const Held attempt = std::move(found->second);
     this->held.erase(found);
-    const std::uint32_t tag = attempt.tag;
+    const std::uint32_t tag = attempt.choice.tag;
     this->report(attempt, report);
     if (report.outcome == balance::Outcome::Answered) {
         this->dependencies.book.onLatency(attempt.request, report.latency);
--- a/src/upstreams/include/damaskgate/upstreams/endpointbook.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointbook.h
@@ -84,6 +84,7 @@
 struct Choice
 {
     balance::SlotGrant grant;
+    std::uint32_t tag = 0; //!< of the endpoint, in notes
     double badness = 0;
     std::size_t inFlight = 0; //!< over all hosts, as far as heard
     bool isRetrial = false;
@@ -100,6 +101,9 @@
     /** @param domain failure domain of this host */
     EndpointBook(ChoiceModel model, core::DomainName domain, std::uint64_t seed);
 
+    EndpointBook(const EndpointBook &) = delete;
+    EndpointBook &operator=(const EndpointBook &) = delete;
+
     /** Takes the list of services with their bounds. */
     void setServices(std::map<core::ServiceName, ServiceBounds> services);
 
@@ -175,6 +179,7 @@
     struct Entry
     {
         RegisteredEndpoint facts;
+        std::uint32_t tag = 0; //!< core::tagOf() its name
         EndpointBelief belief;
         std::deque<Start> running; //!< requests over all hosts, oldest first
         std::optional<limits::SharedBucket> coldBucket; //!< of all hosts together
@@ -189,16 +194,26 @@
     };
 
     std::optional<EndpointChange::Kind> put(const RegisteredEndpoint &facts, core::Instant now);
+    /** What a pass over all endpoints found for a request. */
+    struct Candidates
+    {
+        Entry *best = nullptr; //!< of the least cost
+        Entry *retrial = nullptr; //!< a suspect that is due for a trial
+        Entry *idle = nullptr; //!< one of those that have been idle for too long
+        double idleShare = 0; //!< of the endpoints that may take the request
+    };
+
+    Candidates findCandidates(const balance::WorkRequest &request, core::Instant now);
     void takeColdTime(Entry &entry, core::Instant now);
     void shareOutCold(Entry &entry, core::Instant now);
     bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
     bool isMuchUnserved(const core::ServiceName &service, core::Instant now) const;
     bool isIdleTooLong(const Entry &entry, bool isMuchUnserved, core::Instant now) const;
     bool isRetrialDue(const Entry &entry, core::Instant now) const;
-    double costOf(Entry &entry, const balance::WorkRequest &request, core::Instant now);
-    double lateCost(const balance::WorkRequest &request, double rounds) const;
+    double costOf(Entry &entry, std::optional<double> usualPart, core::Instant now);
+    std::optional<double> usualPartOf(const balance::WorkRequest &request) const;
     void forgetLostStarts(Entry &entry, core::Instant now) const;
-    Entry *findByTag(std::uint32_t tag);
+    Entry *findByTag(std::uint32_t tag) const;
 
     ChoiceModel model;
     core::DomainName domain;
@@ -210,7 +225,7 @@
     std::map<core::ServiceName, ServedShare> served;
     std::set<core::DomainName> withdrawn;
     std::map<core::EndpointName, Entry> entries;
-    std::map<std::uint32_t, core::EndpointName> namesByTag;
+    std::map<std::uint32_t, Entry *> entriesByTag;
     bool wasFilled = false;
 };
 
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -43,7 +43,6 @@
 private:
     struct Held
     {
-        std::uint32_t tag = 0; //!< of the endpoint
         balance::WorkRequest request;
         Choice choice;
     };
