gateway, fleet, mirror: one copy of what was written twice

Read once more, behaviour as before: - the gateway listed the serving hosts in two places; - a host that is no hub worked out neighbours and relays at each flush of its notes, without sending them anything; - the mirror listed the other hosts twice at each tick; - mirrorcodec packed and unpacked Cap'n Proto by itself; peer::packMessage and unpackMessage do it, with the limit as an argument.

--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -175,8 +175,11 @@
     this->isFlushScheduled = false;
     const core::Instant now = this->clock.now();
     const core::HostName hub = this->fleet.hub(now);
-    const NoteRoutes routes { hub, hub == this->fleet.self(), this->fleet.neighbours(now),
-                              this->fleet.relays(now) };
+    NoteRoutes routes { hub, hub == this->fleet.self(), {}, {} };
+    if (this->notes->isSpreading(routes.isHub)) {
+        routes.neighbours = this->fleet.neighbours(now);
+        routes.relays = this->fleet.relays(now);
+    }
     for (const NoteParcel &parcel : this->notes->take(routes)) {
         this->sendNotes(parcel.notes, parcel.hosts, parcel.spread);
         if (parcel.spread == Spread::Fleet || parcel.spread == Spread::Neighbours) {
--- a/src/fleet/notequeues.cpp
+++ b/src/fleet/notequeues.cpp
@@ -41,6 +41,11 @@
     return false;
 }
 
+bool NoteQueues::isSpreading(bool isHub) const
+{
+    return isHub || !this->forNeighbours.empty() || !this->forRelays.empty();
+}
+
 std::vector<NoteParcel> NoteQueues::take(const NoteRoutes &routes)
 {
     if (routes.isHub) {
--- a/src/fleet/notequeues.h
+++ b/src/fleet/notequeues.h
@@ -37,6 +37,9 @@
     /** Queues notes of another host. @return whether any has to go on */
     bool addReceived(std::span<const Note> notes, Spread spread);
 
+    /** @return whether any of it goes beyond the hub from here. @param isHub of this host */
+    bool isSpreading(bool isHub) const;
+
     /** @return all that waits, by where it goes; nothing waits afterwards. */
     std::vector<NoteParcel> take(const NoteRoutes &routes);
 
--- a/src/fleet/tests/notequeues_test.cpp
+++ b/src/fleet/tests/notequeues_test.cpp
@@ -31,6 +31,9 @@
     queues.addOwn(note(1));
     queues.addOwn(note(2));
 
+    EXPECT_FALSE(queues.isSpreading(false));
+    EXPECT_TRUE(queues.isSpreading(true));
+
     // [THEN] They share one message, none crosses failure domains from here
     const auto parcels = queues.take(routes(false));
     ASSERT_EQ(parcels.size(), 1U);
@@ -46,6 +49,7 @@
     NoteQueues queues;
     queues.addOwn(note(1));
     EXPECT_TRUE(queues.addReceived(std::vector { note(2) }, Spread::Fleet));
+    EXPECT_TRUE(queues.isSpreading(false));
 
     // [THEN] Both go to one host of each other domain and to all of this one
     const auto parcels = queues.take(routes(true));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -117,6 +117,7 @@
     void applyEndpoints();
     void reportUnreadable(const std::vector<UnreadableItem> &items);
     void onFleetChanged();
+    std::vector<const fleet::Member *> servingMembers() const; //!< other hosts that take callers
     bool isSettled() const;
     std::vector<entry::LookupEntry> lookupEntries();
     http::QueryAnswer answerPeer(const http::Query &query) const;
@@ -349,14 +350,20 @@
     this->admission.setShare(share);
     this->retries.setShare(share);
     std::vector<core::HostName> serving;
-    for (const fleet::Member *member : this->fleet.table().liveMembers(this->clock.now())) {
-        if (member->state.isServing && !member->state.isLeaving) {
-            serving.push_back(member->name);
-        }
-    }
+    std::ranges::transform(this->servingMembers(), std::back_inserter(serving),
+                           [](const fleet::Member *member) { return member->name; });
     this->book.setHosts(this->peerName, serving, this->clock.now());
 }
 
+std::vector<const fleet::Member *> Gateway::Impl::servingMembers() const
+{
+    auto members = this->fleet.table().liveMembers(this->clock.now());
+    std::erase_if(members, [](const fleet::Member *member) {
+        return !member->state.isServing || member->state.isLeaving;
+    });
+    return members;
+}
+
 bool Gateway::Impl::isSettled() const
 {
     const auto since = this->mirrorService.settledSince();
@@ -370,11 +377,9 @@
         serving.push_back({ this->options.name, this->options.address, this->options.ports.callers,
                             this->options.domain });
     }
-    for (const fleet::Member *member : this->fleet.table().liveMembers(this->clock.now())) {
-        if (member->state.isServing && !member->state.isLeaving) {
-            serving.push_back({ member->name, member->name.text(), this->options.ports.callers,
-                                member->state.domain });
-        }
+    for (const fleet::Member *member : this->servingMembers()) {
+        serving.push_back({ member->name, member->name.text(), this->options.ports.callers,
+                            member->state.domain });
     }
     std::vector<entry::LookupEntry> picked;
     std::ranges::sample(serving, std::back_inserter(picked), MaxLookupHosts, this->random);
--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -85,7 +85,7 @@
     void scheduleTick(std::chrono::milliseconds delay);
     void tick();
     std::vector<ReaderView> otherHosts(core::Instant now) const;
-    std::vector<ReaderView> nearHosts(core::Instant now) const;
+    std::vector<ReaderView> nearOf(std::vector<ReaderView> hosts) const;
     void updateSettled(core::Instant now);
 
     boost::asio::io_context &context;
--- a/src/mirror/mirrorcodec.cpp
+++ b/src/mirror/mirrorcodec.cpp
@@ -2,10 +2,7 @@
 
 #include <span>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
+#include "damaskgate/peer/packedmessage.h"
 
 #include "mirror.capnp.h"
 
@@ -52,24 +49,14 @@
         removals[index].setKey(changes.removals[index].key.c_str());
         removals[index].setRevision(changes.removals[index].revision);
     }
-    kj::VectorOutputStream stream;
-    capnp::writePackedMessage(stream, message);
-    const auto bytes = stream.getArray().asChars();
-    return { bytes.begin(), bytes.end() };
+    const auto bytes = peer::packMessage(message);
+    return { reinterpret_cast<const char *>(bytes.data()), bytes.size() };
 }
 
 core::Result<Changes> decode(std::string_view bytes)
 {
-    try {
-        kj::ArrayInputStream stream(
-            { reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size() });
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = MaxWordsRead;
-        capnp::PackedMessageReader message(stream, options);
-        return read(message.getRoot<wire::Changes>());
-    } catch (const kj::Exception &) {
-        return core::notRun(core::Reason::BadRequest, "malformed changes of another host");
-    }
+    return peer::unpackMessage<wire::Changes, Changes>(std::as_bytes(std::span(bytes)), read,
+                                                       MaxWordsRead);
 }
 
 } // namespace damaskgate::mirror
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -94,7 +94,8 @@
 {
     const core::Instant now = this->clock.now();
     this->updateSettled(now);
-    this->plan.setPullingFar(this->duty.rankAmong(this->nearHosts(now)) < PullPlan::FarPullers);
+    const std::vector<ReaderView> others = this->otherHosts(now);
+    this->plan.setPullingFar(this->duty.rankAmong(this->nearOf(others)) < PullPlan::FarPullers);
     this->startPull();
     if (this->isReading) {
         if (now - this->announcedAt >= AnnounceInterval) {
@@ -103,7 +104,7 @@
         }
         return;
     }
-    if (this->duty.shouldRead(this->otherHosts(now), now)) {
+    if (this->duty.shouldRead(others, now)) {
         this->isReading = true;
         this->events.record({ "source-reader-started", {} });
         asio::co_spawn(this->context, this->readWhileOnDuty(), asio::detached);
@@ -125,11 +126,10 @@
     return others;
 }
 
-std::vector<ReaderView> MirrorService::nearHosts(core::Instant now) const
+std::vector<ReaderView> MirrorService::nearOf(std::vector<ReaderView> hosts) const
 {
-    std::vector<ReaderView> near = this->otherHosts(now);
-    std::erase_if(near, [this](const ReaderView &other) { return !this->isNear(other.name); });
-    return near;
+    std::erase_if(hosts, [this](const ReaderView &host) { return !this->isNear(host.name); });
+    return hosts;
 }
 
 void MirrorService::updateSettled(core::Instant now)
--- a/src/peer/include/damaskgate/peer/packedmessage.h
+++ b/src/peer/include/damaskgate/peer/packedmessage.h
@@ -34,16 +34,18 @@
  * @tparam Root Cap'n Proto type of the message
  * @tparam Value what is read
  * @param read called with the reader of the root; its result is returned
+ * @param maxWords Cap'n Proto words that may be read
  * @return the value, or BadRequest when the payload is malformed
  */
 template <typename Root, typename Value, typename Read>
-core::Result<Value> unpackMessage(std::span<const std::byte> payload, Read read)
+core::Result<Value> unpackMessage(std::span<const std::byte> payload, Read read,
+                                  std::uint64_t maxWords = MaxWordsRead)
 {
     try {
         kj::ArrayInputStream stream(
             { reinterpret_cast<const kj::byte *>(payload.data()), payload.size() });
         capnp::ReaderOptions options;
-        options.traversalLimitInWords = MaxWordsRead;
+        options.traversalLimitInWords = maxWords;
         capnp::PackedMessageReader message(stream, options);
         return read(message.getRoot<Root>());
     } catch (const kj::Exception &) {
