mirror, gateway: log how long reads of published changes and settings take

Three hypotheses could not be told apart by the logs: changes reach hosts late because transfers between hosts are slow or fail; because hosts take long to parse large settings; because the readers receive them late from the source.

data-changed now has the bytes of the values and the time of the read, peer-read-failed the revision held and the time until the failure, settings-in-force the source's revision, the number of routes and the time to parse them and put them into force. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -306,6 +306,7 @@
         return;
     }
     this->lastReadSettingsRevision = revision;
+    const core::Instant readFrom = this->clock.now();
     auto read = this->platformAdapter->readSettings(items);
     if (!read) {
         return;
@@ -316,7 +317,13 @@
     }
     const std::uint64_t number = (*read)->revision.number;
     if (this->liveSettings.replace(std::move(**read))) {
-        this->events.record({ "settings-in-force", { { "revision", number } } });
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->clock.now() - readFrom);
+        this->events.record({ "settings-in-force",
+                              { { "revision", number },
+                                { "item_revision", *revision },
+                                { "routes", this->liveSettings.current()->routes.size() },
+                                { "read_ms", elapsed.count() } } });
     }
 }
 
--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -81,8 +81,10 @@
     void onMemberSeen(const fleet::Member &member);
     void onSourceReached();
     void onSourceFailed(const core::Error &error);
-    void applyChanges(const Changes &changes, std::string_view origin);
-    void applyPeerChanges(const Changes &changes, const core::HostName &host);
+    /** @param readFrom when the read of @p changes began */
+    void applyChanges(const Changes &changes, std::string_view origin, core::Instant readFrom);
+    void applyPeerChanges(const Changes &changes, const core::HostName &host,
+                          core::Instant readFrom);
     void startPullIfDue();
     bool isLocal(const core::HostName &host) const;
     void scheduleTick(std::chrono::milliseconds delay);
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -1,6 +1,7 @@
 #include "damaskgate/mirror/mirrorservice.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -33,6 +34,18 @@
 constexpr std::size_t MaxReplyBytes = 16UL * 1024 * 1024;
 constexpr std::string_view ChangesPath = "/mirror";
 
+std::size_t totalValueBytes(const Changes &changes)
+{
+    return std::accumulate(
+        changes.items.begin(), changes.items.end(), std::size_t { 0 },
+        [](std::size_t sum, const Item &item) { return sum + item.value.size(); });
+}
+
+std::chrono::milliseconds::rep toMilliseconds(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 MirrorService::MirrorService(const Dependencies &dependencies, std::uint16_t peerPort,
@@ -174,6 +187,7 @@
 asio::awaitable<bool> MirrorService::readOnce()
 {
     const bool isEmpty = this->copy.revision() == 0;
+    core::Instant readFrom = this->clock.now();
     if (!isEmpty) {
         auto changes = co_await this->source.watch(this->copy.revision(), WatchWait);
         if (!changes) {
@@ -182,18 +196,19 @@
         }
         if (*changes) {
             this->onSourceReached();
-            this->applyChanges(**changes, "source");
+            this->applyChanges(**changes, "source", readFrom);
             co_return true;
         }
         this->events.record({ "source-history-gone", { { "revision", this->copy.revision() } } });
     }
+    readFrom = this->clock.now();
     const auto snapshot = co_await this->source.readAll();
     if (!snapshot) {
         this->onSourceFailed(snapshot.error());
         co_return false;
     }
     this->onSourceReached();
-    this->applyChanges(*snapshot, "source");
+    this->applyChanges(*snapshot, "source", readFrom);
     co_return true;
 }
 
@@ -218,7 +233,8 @@
     }
 }
 
-void MirrorService::applyChanges(const Changes &changes, std::string_view origin)
+void MirrorService::applyChanges(const Changes &changes, std::string_view origin,
+                                 core::Instant readFrom)
 {
     const std::uint64_t before = this->copy.revision();
     const bool isChanged = this->copy.apply(changes);
@@ -230,6 +246,8 @@
                             { "before", before },
                             { "items", changes.items.size() },
                             { "removals", changes.removals.size() },
+                            { "bytes", totalValueBytes(changes) },
+                            { "read_ms", toMilliseconds(this->clock.now() - readFrom) },
                             { "from", origin } } });
     if (this->listener) {
         this->listener();
@@ -272,22 +290,27 @@
         if (!host) {
             break;
         }
+        const core::Instant readFrom = this->clock.now();
         const auto changes = co_await this->requestChanges(*host);
         if (changes) {
-            this->applyPeerChanges(*changes, *host);
+            this->applyPeerChanges(*changes, *host, readFrom);
             continue;
         }
         this->events.record({ "peer-read-failed",
-                              { { "host", host->text() }, { "detail", changes.error().detail } } });
+                              { { "host", host->text() },
+                                { "revision", this->copy.contentRevision() },
+                                { "after_ms", toMilliseconds(this->clock.now() - readFrom) },
+                                { "detail", changes.error().detail } } });
         this->pullPolicy.onPullFailed(*host);
     }
     this->isPulling = false;
 }
 
-void MirrorService::applyPeerChanges(const Changes &changes, const core::HostName &host)
+void MirrorService::applyPeerChanges(const Changes &changes, const core::HostName &host,
+                                     core::Instant readFrom)
 {
     const std::uint64_t before = this->copy.contentRevision();
-    this->applyChanges(changes, host.text());
+    this->applyChanges(changes, host.text(), readFrom);
     if (this->copy.contentRevision() == before) {
         this->pullPolicy.onPullFailed(host);
     } else if (!this->isLocal(host)) {
