entry, upstreams: read and log that an endpoint announces that it leaves

Endpoints that leave say so in all their answers. No source read the field, so the logs could not show whether a host had been told by an endpoint itself before it used it again.

The dialect names the field, an exchange reports it, and attempt-ended has it as `leaving` (each such attempt is logged). No decision changes yet.

--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -44,12 +44,21 @@
     std::uint32_t waiting = 0; //!< requests queued at the endpoint
 };
 
+/** What an endpoint announces about itself in a response, independent of the request. */
+struct EndpointNotice
+{
+    bool isLeaving = false; //!< it will stop soon and is to get no further requests
+
+    bool operator==(const EndpointNotice &) const = default;
+};
+
 /** Result of one exchange with an endpoint. */
 struct ExchangeReport
 {
     Outcome outcome = Outcome::Answered;
     core::Duration latency {}; //!< time from the first byte sent to the first byte received
     std::optional<LoadReport> load;
+    std::optional<EndpointNotice> notice {}; //!< nothing if no response was received
 };
 
 /** Request for a slot of an endpoint. */
--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -403,6 +403,7 @@
     this->result.report.outcome =
         isServerError ? balance::Outcome::ServerError : balance::Outcome::Answered;
     this->result.report.load = readLoad(this->parser->get(), this->dialect());
+    this->result.report.notice = readNotice(this->parser->get(), this->dialect());
 }
 
 // A connection is reused only if both sides have completed the exchange and no input is left.
--- a/src/entry/include/damaskgate/entry/dialect.h
+++ b/src/entry/include/damaskgate/entry/dialect.h
@@ -29,6 +29,7 @@
     std::string operationKeyField; //!< field of callers' requests; empty: unsupported
     std::string loadField; //!< response field: load of the endpoint
     std::string shedField; //!< response field: the endpoint did not run the request
+    std::string leavingField; //!< response field: the endpoint stops soon; empty: not sent
     std::string workspaceField; //!< request field: workspace, for endpoints; empty: not sent
     std::string expectedEndpointField; //!< request field: sole endpoint allowed to run the request;
                                        //!< empty: not sent
--- a/src/entry/responsehead.cpp
+++ b/src/entry/responsehead.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::string_view FlagSet = "1"; // value of a field that is present only while something holds
+
 bool hasNoBody(const ResponseParser &parser, bool isHeadRequest)
 {
     const auto status = parser.get().result_int();
@@ -83,6 +85,13 @@
     return dialect.readLoad(toView(header[dialect.loadField]));
 }
 
+balance::EndpointNotice readNotice(const ResponseHeader &header, const Dialect &dialect)
+{
+    balance::EndpointNotice notice;
+    notice.isLeaving = !dialect.leavingField.empty() && toView(header[dialect.leavingField]) == FlagSet;
+    return notice;
+}
+
 bool isShed(const ResponseHeader &header, const Dialect &dialect)
 {
     return dialect.isShed(header.result_int(), toView(header[dialect.shedField]));
--- a/src/entry/responsehead.h
+++ b/src/entry/responsehead.h
@@ -30,6 +30,9 @@
 /** @return the load that the endpoint reported in @p header, or nothing. */
 std::optional<balance::LoadReport> readLoad(const ResponseHeader &header, const Dialect &dialect);
 
+/** @return what the endpoint announced about itself in @p header. */
+balance::EndpointNotice readNotice(const ResponseHeader &header, const Dialect &dialect);
+
 /** @return whether the endpoint explicitly reported that it did not run the request. */
 bool isShed(const ResponseHeader &header, const Dialect &dialect);
 
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -116,8 +116,9 @@
 void FleetBalancer::recordAttempt(const ActiveAttempt &attempt,
                                   const balance::ExchangeReport &report)
 {
-    const bool isSampled =
-        report.outcome == balance::Outcome::Answered && attempt.request.excluded.empty();
+    const bool isLeaving = report.notice && report.notice->isLeaving;
+    const bool isSampled = report.outcome == balance::Outcome::Answered
+        && attempt.request.excluded.empty() && !isLeaving;
     if (isSampled && core::nameHash(attempt.request.traceId) % SampledAttemptsPerLine != 0) {
         return;
     }
@@ -132,6 +133,7 @@
                                          { "badness", attempt.choice.faultProbability },
                                          { "evidence_age_ms", attempt.choice.evidenceAge.count() },
                                          { "in_flight", attempt.choice.inFlight },
+                                         { "leaving", isLeaving },
                                          { "retrial", attempt.choice.isProbe } } });
 }
 
