http: limit a read by its progress, not by its whole duration

Cause: the reader of other hosts and of the source ended each response after one fixed time, 400 ms and 700 ms, whatever its size. A large item takes longer than that on a slow or shared link. All hosts of a failure domain gave up together, had used up the link for nothing, and began again. Class: a time limit for a whole transfer where the size of what is transferred is not limited.

The limit now holds for connecting and for each wait for further bytes; a second, longer one bounds the whole response, so that a server that sends a byte now and then does not hold a reader. The same class was in the reader of the source: a host with a 10 Mbit/s link could not read a page of 1 MB at all. The product's own daemon reads through the same class.

--- a/src/http/httpreader.cpp
+++ b/src/http/httpreader.cpp
@@ -1,5 +1,6 @@
 #include "damaskgate/http/httpreader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/ip/address.hpp>
@@ -43,7 +44,7 @@
 asio::awaitable<core::Result<HttpResponse>> HttpReader::get(std::string target,
                                                             std::chrono::milliseconds wait)
 {
-    auto result = co_await this->exchange(std::move(target), this->options.timeout + wait);
+    auto result = co_await this->exchange(std::move(target), wait);
     if (!result || !result->keep_alive()) {
         this->close();
     }
@@ -69,8 +70,9 @@
 }
 
 asio::awaitable<core::Result<HttpResponse>> HttpReader::exchange(std::string target,
-                                                                 std::chrono::milliseconds timeout)
+                                                                 std::chrono::milliseconds wait)
 {
+    using Clock = std::chrono::steady_clock;
     beast::error_code error;
     if (!this->stream.socket().is_open()) {
         error = co_await this->connect();
@@ -80,7 +82,8 @@
     }
     beast::http::request<beast::http::empty_body> request(beast::http::verb::get, target, 11);
     request.set(beast::http::field::host, this->address);
-    this->stream.expires_after(timeout);
+    const Clock::time_point deadline = Clock::now() + this->options.totalTimeout + wait;
+    this->stream.expires_after(this->options.timeout);
     co_await beast::http::async_write(this->stream, request,
                                       asio::redirect_error(asio::use_awaitable, error));
     if (error) {
@@ -88,10 +91,15 @@
     }
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(this->options.maxBodyBytes);
-    co_await beast::http::async_read(this->stream, this->buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        co_return unavailable("read", error);
+    std::chrono::milliseconds waitForBytes = this->options.timeout + wait;
+    while (!parser.is_done()) {
+        this->stream.expires_at(std::min(Clock::now() + waitForBytes, deadline));
+        co_await beast::http::async_read_some(this->stream, this->buffer, parser,
+                                              asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return unavailable("read", error);
+        }
+        waitForBytes = this->options.timeout;
     }
     co_return parser.release();
 }
--- a/src/http/include/damaskgate/http/httpreader.h
+++ b/src/http/include/damaskgate/http/httpreader.h
@@ -24,9 +24,11 @@
 public:
     struct Options
     {
-        /** Limit for connecting, and for a request together with its response. */
+        /** Limit for connecting, and for each wait for further bytes of a response. */
         std::chrono::milliseconds timeout { 2000 };
         std::size_t maxBodyBytes = 1048576;
+        /** Limit for a request together with its response, however large. */
+        std::chrono::milliseconds totalTimeout { 10000 };
     };
 
     HttpReader(boost::asio::io_context &context, Options options);
@@ -37,8 +39,8 @@
     /**
      * Sends a GET request for @p target.
      *
-     * @param wait time by which the server may delay its response (long polling); added to the
-     * timeout
+     * @param wait time by which the server may delay its response (long polling); added to both
+     *        timeouts
      * @return the response, whatever its status, or Reason::PlatformUnavailable; the connection is
      * closed after an error
      */
@@ -50,7 +52,7 @@
 
 private:
     boost::asio::awaitable<core::Result<HttpResponse>> exchange(std::string target,
-                                                                std::chrono::milliseconds timeout);
+                                                                std::chrono::milliseconds wait);
     boost::asio::awaitable<boost::system::error_code> connect();
 
     Options options;
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -31,6 +31,7 @@
 // Interval at which a reader without new changes announces its last contact with the source.
 constexpr std::chrono::milliseconds AnnounceInterval { 500 };
 constexpr std::chrono::milliseconds PeerTimeout { 400 };
+constexpr std::chrono::milliseconds PeerTotalTimeout { 3000 };
 constexpr std::size_t MaxReplyBytes = 16UL * 1024 * 1024;
 constexpr std::string_view ChangesPath = "/mirror";
 
@@ -53,7 +54,7 @@
     : context(dependencies.context), clock(dependencies.clock), events(dependencies.events),
       fleet(dependencies.fleet), source(dependencies.source), peerPort(peerPort),
       election(this->fleet.table().self(), corePercent), reachability(this->clock.now()),
-      peerReader(this->context, { PeerTimeout, MaxReplyBytes }), tickTimer(this->context),
+      peerReader(this->context, { PeerTimeout, MaxReplyBytes, PeerTotalTimeout }), tickTimer(this->context),
       pauseTimer(this->context)
 {
     this->fleet.addContactListener(
