mirror: send changes of large items as differences

With a read limited by its progress alone, every host would still pull the whole settings, 640 KB, for each change of a few bytes, over links of 10 Mbit/s that also carry the callers' requests.

Cause: what a change costs grew with the size of the item, not of the change, times the hosts. Class: state that is sent whole to every reader when a part of it changes.

A host that pulls changes names the revisions of the large items that it holds. The sender keeps the last eight values of each large item and sends a new one as a zstd frame relative to the value that the receiver holds, or compressed alone when it does not know that one. A frame carries a checksum; a response that cannot be restored is pulled again without a base. Hosts that pull the same changes share one encoded response.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <csignal>
 #include <iterator>
 #include <random>
@@ -126,7 +125,7 @@
     std::vector<const fleet::Member *> servingMembers() const; //!< other hosts that accept callers
     bool isSourceStable() const;
     std::vector<entry::LookupEntry> lookupEntries();
-    http::QueryResponse handlePeerQuery(const http::Query &query) const;
+    http::QueryResponse handlePeerQuery(const http::Query &query);
     void scheduleMaintenance();
     void awaitSignal();
     void onSignal(int number);
@@ -317,8 +316,8 @@
     }
     const std::uint64_t number = (*read)->revision.number;
     if (this->liveSettings.replace(std::move(**read))) {
-        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-            this->clock.now() - readFrom);
+        const auto elapsed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - readFrom);
         this->events.record({ "settings-in-force",
                               { { "revision", number },
                                 { "item_revision", *revision },
@@ -402,13 +401,11 @@
     return picked;
 }
 
-http::QueryResponse Gateway::Impl::handlePeerQuery(const http::Query &query) const
+http::QueryResponse Gateway::Impl::handlePeerQuery(const http::Query &query)
 {
     if (query.path == "/mirror") {
-        const std::string_view text = http::parameterOf(query.parameters, "after");
-        std::uint64_t after = 0;
-        std::from_chars(text.data(), text.data() + text.size(), after);
-        return { 200, "application/octet-stream", this->mirrorService.encodeChangesSince(after) };
+        return { 200, "application/octet-stream",
+                 this->mirrorService.makePullResponse(query.parameters) };
     }
     if (query.path == "/metrics") {
         return { 200, "text/plain; version=0.0.4", this->registry.exposition() };
--- a/src/http/tests/httpreader_test.cpp
+++ b/src/http/tests/httpreader_test.cpp
@@ -81,7 +81,8 @@
                                 200, "text/plain", std::string(parameterOf(query.parameters, "a"))
                             };
                         } };
-    HttpReader reader { this->context, { std::chrono::milliseconds(100), 1000, std::chrono::milliseconds(600) } };
+    HttpReader reader { this->context,
+                        { std::chrono::milliseconds(100), 1000, std::chrono::milliseconds(600) } };
 };
 
 TEST_F(HttpReader_Tests, Get_TwiceOnOneConnection_IsAnswered)
--- a/src/mirror/include/damaskgate/mirror/mirror.h
+++ b/src/mirror/include/damaskgate/mirror/mirror.h
@@ -2,8 +2,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "damaskgate/mirror/mirrortypes.h"
 
@@ -25,6 +29,20 @@
      */
     Changes changesSince(std::uint64_t after) const;
 
+    /** Size in bytes from which the former values of an item are kept; see valueAt(). */
+    static constexpr std::size_t LargeValueBytes = 4096;
+    /** Largest number of former values that are kept of an item. */
+    static constexpr std::size_t MaxFormerValues = 8;
+
+    /**
+     * @return the value that the item @p key had at its revision @p revision; nothing if it was not
+     *         large or is no longer kept
+     */
+    std::optional<std::string_view> valueAt(std::string_view key, std::uint64_t revision) const;
+
+    /** @return the revisions of the items whose current value is large. */
+    std::vector<std::uint64_t> largeItemRevisions() const;
+
     /** @return the revision of the last applied changes; zero before any are applied. */
     std::uint64_t revision() const;
 
@@ -37,6 +55,7 @@
     bool applyItem(const Item &item);
     bool applyRemoval(const std::string &key, std::uint64_t revision);
     bool removeMissingItems(const Changes &snapshot);
+    void keepFormer(const Item &item);
     void discardOldRemovals();
 
     std::uint64_t appliedRevision = 0;
@@ -44,6 +63,7 @@
     std::uint64_t discardedRemovalRevision = 0; //!< Highest revision of a discarded removal
     std::map<std::string, Item, std::less<>> itemsByKey;
     std::map<std::string, std::uint64_t, std::less<>> removalRevisions;
+    std::map<std::string, std::deque<Item>, std::less<>> formerItems; //!< large ones, oldest first
 };
 
 } // namespace damaskgate::mirror
--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -70,14 +70,22 @@
      */
     std::optional<core::Instant> sourceReachableSince() const;
 
-    /** @return the encoded changes for another host that holds revision @p after. */
-    std::string encodeChangesSince(std::uint64_t after) const;
+    /**
+     * Answers another host that pulls changes.
+     *
+     * @param parameters query string of its request: `after`, the revision that it holds, and
+     *        `held`, the revisions of the large items that it holds
+     * @return the encoded changes
+     */
+    std::string makePullResponse(std::string_view parameters);
 
 private:
     boost::asio::awaitable<void> readWhileElected();
     boost::asio::awaitable<bool> readOnce();
     boost::asio::awaitable<void> pull();
     boost::asio::awaitable<core::Result<Changes>> requestChanges(const core::HostName &host);
+    std::string pullTarget() const;
+    std::string encodeChanges(std::string_view parameters) const;
     void onMemberSeen(const fleet::Member &member);
     void onSourceReached();
     void onSourceFailed(const core::Error &error);
@@ -111,6 +119,10 @@
     core::Instant announcedAt;
     std::map<core::HostName, core::Instant> sourceReachedAtByHost; //!< Other hosts only
     core::HostName connectedHost;
+    /** Responses to pulls of changes up to pullResponsesRevision, by query string. */
+    std::map<std::string, std::string, std::less<>> pullResponses;
+    std::uint64_t pullResponsesRevision = 0;
+    bool isWholePullNeeded = false; //!< the last response could not be restored
     int consecutiveFailures = 0; //!< Reads of the source that failed since the last success
     bool isReading = false;
     bool isPulling = false;
--- a/src/mirror/mirror.capnp
+++ b/src/mirror/mirror.capnp
@@ -7,6 +7,10 @@
   key @0 :Text;
   value @1 :Data;
   revision @2 :UInt64;
+  # If not zero, value is a zstd frame that restores to this many bytes.
+  valueBytes @3 :UInt32;
+  # Revision of the item's value that the frame is relative to; zero: none.
+  baseRevision @4 :UInt64;
 }
 
 struct Removal {
--- a/src/mirror/mirror.capnp.h
+++ b/src/mirror/mirror.capnp.h
@@ -35,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b28c01158ffed3c, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9b28c01158ffed3c, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -99,6 +99,10 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline  ::uint32_t getValueBytes() const;
+
+  inline  ::uint64_t getBaseRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -144,6 +148,12 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline  ::uint32_t getValueBytes();
+  inline void setValueBytes( ::uint32_t value);
+
+  inline  ::uint64_t getBaseRevision();
+  inline void setBaseRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -441,6 +451,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Item::Reader::getValueBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Item::Builder::getValueBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Item::Builder::setValueBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Item::Reader::getBaseRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Item::Builder::getBaseRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Item::Builder::setBaseRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Removal::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/mirror/mirror.cpp
+++ b/src/mirror/mirror.cpp
@@ -52,6 +52,44 @@
     return changes;
 }
 
+std::optional<std::string_view> Mirror::valueAt(std::string_view key, std::uint64_t revision) const
+{
+    const auto current = this->itemsByKey.find(key);
+    if (current != this->itemsByKey.end() && current->second.revision == revision) {
+        return current->second.value;
+    }
+    const auto former = this->formerItems.find(key);
+    if (former == this->formerItems.end()) {
+        return std::nullopt;
+    }
+    const auto found = std::ranges::find(former->second, revision, &Item::revision);
+    return found == former->second.end() ? std::nullopt
+                                         : std::optional<std::string_view>(found->value);
+}
+
+std::vector<std::uint64_t> Mirror::largeItemRevisions() const
+{
+    std::vector<std::uint64_t> revisions;
+    for (const auto &[key, item] : this->itemsByKey) {
+        if (item.value.size() >= LargeValueBytes) {
+            revisions.push_back(item.revision);
+        }
+    }
+    return revisions;
+}
+
+void Mirror::keepFormer(const Item &item)
+{
+    if (item.value.size() < LargeValueBytes) {
+        return;
+    }
+    std::deque<Item> &former = this->formerItems[item.key];
+    former.push_back(item);
+    if (former.size() > MaxFormerValues) {
+        former.pop_front();
+    }
+}
+
 std::uint64_t Mirror::revision() const
 {
     return this->appliedRevision;
@@ -77,6 +115,9 @@
     if (found != this->itemsByKey.end() && found->second.revision >= item.revision) {
         return false;
     }
+    if (found != this->itemsByKey.end()) {
+        this->keepFormer(found->second);
+    }
     this->removalRevisions.erase(item.key);
     this->itemsByKey.insert_or_assign(item.key, item);
     return true;
@@ -93,6 +134,7 @@
         return false;
     }
     this->itemsByKey.erase(found);
+    this->formerItems.erase(key);
     return true;
 }
 
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -1,6 +1,7 @@
 #include "damaskgate/mirror/mirrorservice.h"
 
 #include <algorithm>
+#include <charconv>
 #include <numeric>
 #include <utility>
 #include <vector>
@@ -10,6 +11,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "damaskgate/http/queryserver.h"
+
 #include "mirrorcodec.h"
 
 namespace damaskgate::mirror {
@@ -35,6 +38,28 @@
 constexpr std::size_t MaxReplyBytes = 16UL * 1024 * 1024;
 constexpr std::string_view ChangesPath = "/mirror";
 
+// Hosts that pull the same changes mostly hold the same revision.
+constexpr std::size_t MaxPullResponses = 16;
+
+std::uint64_t parseRevision(std::string_view text)
+{
+    std::uint64_t revision = 0;
+    std::from_chars(text.data(), text.data() + text.size(), revision);
+    return revision;
+}
+
+// Parses revisions that are separated by commas.
+std::vector<std::uint64_t> parseRevisions(std::string_view text)
+{
+    std::vector<std::uint64_t> revisions;
+    for (std::size_t start = 0; start < text.size();) {
+        const std::size_t end = std::min(text.find(',', start), text.size());
+        revisions.push_back(parseRevision(text.substr(start, end - start)));
+        start = end + 1;
+    }
+    return revisions;
+}
+
 std::size_t totalValueBytes(const Changes &changes)
 {
     return std::accumulate(
@@ -54,8 +79,8 @@
     : context(dependencies.context), clock(dependencies.clock), events(dependencies.events),
       fleet(dependencies.fleet), source(dependencies.source), peerPort(peerPort),
       election(this->fleet.table().self(), corePercent), reachability(this->clock.now()),
-      peerReader(this->context, { PeerTimeout, MaxReplyBytes, PeerTotalTimeout }), tickTimer(this->context),
-      pauseTimer(this->context)
+      peerReader(this->context, { PeerTimeout, MaxReplyBytes, PeerTotalTimeout }),
+      tickTimer(this->context), pauseTimer(this->context)
 {
     this->fleet.addContactListener(
         [this](const fleet::Member &member) { this->onMemberSeen(member); });
@@ -94,9 +119,39 @@
     return this->reachability.reachableSince();
 }
 
-std::string MirrorService::encodeChangesSince(std::uint64_t after) const
+std::string MirrorService::makePullResponse(std::string_view parameters)
 {
-    return encode(this->copy.changesSince(after));
+    if (this->pullResponsesRevision != this->copy.contentRevision()
+        || this->pullResponses.size() >= MaxPullResponses) {
+        this->pullResponses.clear();
+        this->pullResponsesRevision = this->copy.contentRevision();
+    }
+    const auto found = this->pullResponses.find(parameters);
+    if (found != this->pullResponses.end()) {
+        return found->second;
+    }
+    return this->pullResponses.emplace(std::string(parameters), this->encodeChanges(parameters))
+        .first->second;
+}
+
+std::string MirrorService::encodeChanges(std::string_view parameters) const
+{
+    const std::uint64_t after = parseRevision(http::parameterOf(parameters, "after"));
+    const std::string_view held = http::parameterOf(parameters, "held");
+    const std::vector<std::uint64_t> heldRevisions = parseRevisions(held);
+    const auto findBase = [this, held,
+                           &heldRevisions](const Item &item) -> std::optional<BaseValue> {
+        if (held.empty() || item.value.size() < Mirror::LargeValueBytes) {
+            return std::nullopt;
+        }
+        for (const std::uint64_t revision : heldRevisions) {
+            if (const auto value = this->copy.valueAt(item.key, revision)) {
+                return BaseValue { revision, *value };
+            }
+        }
+        return BaseValue {};
+    };
+    return encode(this->copy.changesSince(after), findBase);
 }
 
 void MirrorService::scheduleTick(std::chrono::milliseconds delay)
@@ -330,13 +385,30 @@
         this->peerReader.setServer(host.text(), this->peerPort);
         this->connectedHost = host;
     }
-    const std::string target =
-        std::string(ChangesPath) + "?after=" + std::to_string(this->copy.contentRevision());
-    const auto reply = co_await this->peerReader.get(target);
+    const auto reply = co_await this->peerReader.get(this->pullTarget());
     if (!reply) {
         co_return tl::unexpected(reply.error());
     }
-    co_return decode(reply->body());
+    auto changes = decode(reply->body(), [this](std::string_view key, std::uint64_t revision) {
+        return this->copy.valueAt(key, revision);
+    });
+    this->isWholePullNeeded = !changes;
+    co_return changes;
+}
+
+std::string MirrorService::pullTarget() const
+{
+    std::string target =
+        std::string(ChangesPath) + "?after=" + std::to_string(this->copy.contentRevision());
+    // Zero stands for no revision. It is sent too: an absent list means that the sender of the
+    // request cannot restore compressed values.
+    target += "&held=0";
+    if (!this->isWholePullNeeded) {
+        for (const std::uint64_t revision : this->copy.largeItemRevisions()) {
+            target += "," + std::to_string(revision);
+        }
+    }
+    return target;
 }
 
 } // namespace damaskgate::mirror
