--- a/src/mirror/include/damaskgate/mirror/mirror.h
+++ b/src/mirror/include/damaskgate/mirror/mirror.h
@@ -23,9 +23,12 @@
     /** Applies @p changes. @return whether any item changed */
     bool apply(const Changes &changes);
 
+    /** Largest number of jumps that are remembered one by one. */
+    static constexpr std::size_t MaxJumps = 16;
+
     /**
-     * @return the changes after revision @p after; a snapshot if @p after is zero or older than a
-     *         removal that is no longer kept
+     * @return the changes after revision @p after; a snapshot if @p after is zero or if removals
+     *         after it may be unknown to this copy
      */
     Changes changesSince(std::uint64_t after) const;
 
@@ -52,6 +55,18 @@
     const std::map<std::string, Item, std::less<>> &items() const;
 
 private:
+    /**
+     * A snapshot that moved this copy forward. Items that were added and removed between the two
+     * revisions are unknown to this copy, but another copy may hold them.
+     */
+    struct Jump
+    {
+        std::uint64_t from = 0; //!< content revision before the snapshot
+        std::uint64_t to = 0; //!< revision of the snapshot
+    };
+
+    bool areRemovalsKnownSince(std::uint64_t after) const;
+    void recordJump(std::uint64_t from, std::uint64_t to);
     bool applyItem(const Item &item);
     bool applyRemoval(const std::string &key, std::uint64_t revision);
     bool removeMissingItems(const Changes &snapshot);
@@ -61,6 +76,7 @@
     std::uint64_t appliedRevision = 0;
     std::uint64_t lastContentRevision = 0;
     std::uint64_t discardedRemovalRevision = 0; //!< Highest revision of a discarded removal
+    std::deque<Jump> jumps; //!< oldest first
     std::map<std::string, Item, std::less<>> itemsByKey;
     std::map<std::string, std::uint64_t, std::less<>> removalRevisions;
     std::map<std::string, std::deque<Item>, std::less<>> formerItems; //!< large ones, oldest first
--- a/src/mirror/mirror.cpp
+++ b/src/mirror/mirror.cpp
@@ -13,6 +13,9 @@
     if (changes.revision < this->appliedRevision) {
         return false;
     }
+    if (changes.isSnapshot) {
+        this->recordJump(this->lastContentRevision, changes.revision);
+    }
     bool isChanged = changes.isSnapshot && this->removeMissingItems(changes);
     if (isChanged) {
         this->lastContentRevision = changes.revision;
@@ -38,7 +41,7 @@
 {
     Changes changes;
     changes.revision = this->lastContentRevision;
-    changes.isSnapshot = after == 0 || after < this->discardedRemovalRevision;
+    changes.isSnapshot = after == 0 || !this->areRemovalsKnownSince(after);
     for (const auto &[key, item] : this->itemsByKey) {
         if (changes.isSnapshot || item.revision > after) {
             changes.items.push_back(item);
@@ -105,6 +108,24 @@
     return this->itemsByKey;
 }
 
+bool Mirror::areRemovalsKnownSince(std::uint64_t after) const
+{
+    const auto isWithin = [after](const Jump &jump) {
+        return after > jump.from && after < jump.to;
+    };
+    return after >= this->discardedRemovalRevision && std::ranges::none_of(this->jumps, isWithin);
+}
+
+void Mirror::recordJump(std::uint64_t from, std::uint64_t to)
+{
+    this->jumps.push_back({ from, to });
+    if (this->jumps.size() > MaxJumps) {
+        this->discardedRemovalRevision =
+            std::max(this->discardedRemovalRevision, this->jumps.front().to);
+        this->jumps.pop_front();
+    }
+}
+
 bool Mirror::applyItem(const Item &item)
 {
     const auto removal = this->removalRevisions.find(item.key);
--- a/src/mirror/tests/mirror_test.cpp
+++ b/src/mirror/tests/mirror_test.cpp
@@ -128,4 +128,54 @@
     EXPECT_FALSE(mirror.changesSince(revision - 1).isSnapshot);
 }
 
+// Guards against hosts that go on using an endpoint after its removal, because they pulled the
+// changes from a host that had started after the removal.
+TEST(Mirror_Tests, ChangesSince_CopyStartedAfterARemoval_TellsOlderCopiesOfIt)
+{
+    // [GIVEN] A host that still holds an endpoint, and one that started after its removal
+    Mirror behind;
+    Mirror started;
+    behind.apply(snapshot(3, { { "kept", "1", 2 }, { "endpoint", "1", 3 } }));
+    started.apply(snapshot(9, { { "kept", "1", 2 }, { "other", "1", 8 } }));
+
+    // [WHEN] The first one pulls the changes from the second one
+    behind.apply(started.changesSince(behind.contentRevision()));
+
+    // [THEN] It no longer holds the endpoint
+    EXPECT_FALSE(behind.items().contains("endpoint"));
+    EXPECT_EQ(behind.items(), started.items());
+}
+
+// Guards against the same loss when the host in between had no contact for a while.
+TEST(Mirror_Tests, ChangesSince_CopySkippedAnItemByASnapshot_TellsCopiesThatHoldIt)
+{
+    // [GIVEN] A host that skipped revisions by a snapshot, and one that was in between
+    Mirror skipped;
+    Mirror between;
+    skipped.apply(snapshot(3, { { "kept", "1", 3 } }));
+    between.apply(snapshot(6, { { "kept", "1", 3 }, { "endpoint", "1", 6 } }));
+    skipped.apply(snapshot(9, { { "kept", "1", 3 }, { "later", "1", 9 } }));
+
+    // [THEN] The one in between learns of the removal, and one before the jump gets only changes
+    between.apply(skipped.changesSince(between.contentRevision()));
+    EXPECT_FALSE(between.items().contains("endpoint"));
+    EXPECT_FALSE(skipped.changesSince(3).isSnapshot);
+}
+
+TEST(Mirror_Tests, ChangesSince_ManyJumps_OldCopiesGetASnapshot)
+{
+    // [GIVEN] A host that skipped revisions more often than it can remember one by one
+    Mirror mirror;
+    mirror.apply(snapshot(1, { { "kept", "1", 1 } }));
+    std::uint64_t revision = 1;
+    for (std::size_t i = 0; i < Mirror::MaxJumps + 2; ++i) {
+        revision += 10;
+        mirror.apply(snapshot(revision, { { "kept", "1", revision } }));
+    }
+
+    // [THEN] A copy from before the forgotten jumps gets a snapshot, a recent one the changes
+    EXPECT_TRUE(mirror.changesSince(1).isSnapshot);
+    EXPECT_FALSE(mirror.changesSince(revision - 10).isSnapshot);
+}
+
 } // namespace damaskgate::mirror
