upstreams: send no more requests to an endpoint that announced that it leaves

Cause: the only word on leaving that was read is the registration in the source. A host that gets it late, or not at all, used the endpoint on, though each response of the endpoint said so. Class: a statement of the party that knows best is ignored because another path usually brings the same news.

Evidence: no source read the field; the tests below fail without the check in isUsable().

The selector marks the start of the endpoint as leaving. The mark outlasts renewed registrations of the same start, also one that lapsed and came back (remembered for 5 minutes after the endpoint is gone), and ends with a new start under the same name. A gossip item tells the other hosts, with a stamp of the start, so that late items do not stop a new start. endpoint-changed says where the news came from.

Tests: FleetBalancer_Tests.Release_EndpointAnnouncedThatItLeaves_GetsNoFurtherRequests, ..._LeavingEndpointIsRegisteredAgain_GetsNoFurtherRequests, ..._OtherHostsLearnOfIt, OnGossipItem_AnEarlierStartLeaves_TheEndpointIsUsed, Retry_Tests.Notice_EndpointAnnouncesThatItLeaves_IsReported.

--- a/src/entry/responsehead.cpp
+++ b/src/entry/responsehead.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::string_view FlagSet = "1"; // value of a field that is present only while something holds
+constexpr std::string_view FlagSet =
+    "1"; // value of a field that is present only while something holds
 
 bool hasNoBody(const ResponseParser &parser, bool isHeadRequest)
 {
@@ -88,7 +89,8 @@
 balance::EndpointNotice readNotice(const ResponseHeader &header, const Dialect &dialect)
 {
     balance::EndpointNotice notice;
-    notice.isLeaving = !dialect.leavingField.empty() && toView(header[dialect.leavingField]) == FlagSet;
+    notice.isLeaving =
+        !dialect.leavingField.empty() && toView(header[dialect.leavingField]) == FlagSet;
     return notice;
 }
 
--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -191,6 +191,29 @@
     EXPECT_EQ(caller.readResponse().status(), 502);
 }
 
+// Guards against an announcement of an endpoint that does not reach the balancer.
+TEST_F(Retry_Tests, Notice_EndpointAnnouncesThatItLeaves_IsReported)
+{
+    // [GIVEN] A dialect in which endpoints announce that they leave
+    this->options.dialect.leavingField = "Endpoint-Leaving";
+    this->start();
+
+    // [WHEN] One response has the announcement and the next one has not
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer leaving = respond(this->first,
+                              "HTTP/1.1 200 OK\r\nEndpoint-Leaving: 1\r\nConnection: close\r\n"
+                              "Content-Length: 2\r\n\r\nok");
+    EXPECT_EQ(caller.readResponse().body, "ok");
+    caller.send(request("GET /read/2"));
+    RawPeer staying = respond(this->first, OkResponse);
+    EXPECT_EQ(caller.readResponse().body, "ok");
+
+    // [THEN] The reports tell them apart
+    ASSERT_TRUE(this->hasReports(2));
+    EXPECT_TRUE(this->balancer.reports[0].notice->isLeaving);
+    EXPECT_FALSE(this->balancer.reports[1].notice->isLeaving);
+}
+
 TEST_F(Retry_Tests, StatusVerdict_NoEndpointReached_IsUnavailable)
 {
     // [GIVEN] A dialect in which the status code alone distinguishes requests that have not run
--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -46,6 +46,9 @@
 // Fraction of the requests sent to idle endpoints, per fraction of the endpoints that are idle.
 constexpr double FloorFractionFactor = 3;
 
+// Time for which the announcement of an endpoint that is no longer registered is remembered.
+constexpr core::Duration LeavingMemory = std::chrono::minutes(5);
+
 // A shed request is weaker evidence of a fault than a failed one.
 constexpr double ShedEvidenceWeight = 0.3;
 
@@ -63,6 +66,12 @@
         < std::pair(held.startedAtMillis, held.sequence);
 }
 
+// Returns the value that stands for a start of an endpoint in gossip items.
+std::uint32_t startStampOf(const RegisteredEndpoint &registration)
+{
+    return static_cast<std::uint32_t>(registration.startedAtMillis);
+}
+
 // Returns the cost of a response whose expected latency is latencyRatio times its objective.
 double lateResponseCost(double latencyRatio)
 {
@@ -127,7 +136,8 @@
     }
     const auto isGone = [&listed, isSourceStable, &changes](const auto &item) {
         const RegisteredEndpoint &registration = item.second.registration;
-        const bool isKept = !isSourceStable && !registration.isLeaving;
+        const bool isKept =
+            !isSourceStable && !registration.isLeaving && !item.second.hasAnnouncedLeaving;
         if (listed.contains(item.first) || isKept) {
             return false;
         }
@@ -136,6 +146,7 @@
         return true;
     };
     std::erase_if(this->entries, isGone);
+    this->forgetLeavingStarts(now);
     this->entriesByHash.clear();
     for (auto &[name, entry] : this->entries) {
         this->entriesByHash.emplace(entry.nameHash, &entry);
@@ -176,6 +187,7 @@
     }
     Entry &entry = this->entries.at(registration.endpoint.name);
     entry.registration = registration;
+    entry.hasAnnouncedLeaving = this->hasAnnouncedLeaving(registration);
     this->applyColdTime(entry, now);
     if (!isSameStart) {
         return isKnown ? Kind::Restarted : Kind::Added;
@@ -249,7 +261,8 @@
                     chosen.inFlight.size(),
                     isProbe,
                     std::chrono::duration_cast<std::chrono::milliseconds>(
-                        now - chosen.faultEstimator.lastEvidenceAt()) };
+                        now - chosen.faultEstimator.lastEvidenceAt()),
+                    startStampOf(chosen.registration) };
 }
 
 EndpointSelector::Candidates EndpointSelector::findCandidates(const balance::WorkRequest &request,
@@ -340,6 +353,37 @@
     }
 }
 
+std::optional<EndpointChange>
+EndpointSelector::onLeaving(std::uint32_t endpointHash, std::uint32_t startStamp, core::Instant now)
+{
+    Entry *entry = this->findByHash(endpointHash);
+    if (entry == nullptr || entry->hasAnnouncedLeaving
+        || startStampOf(entry->registration) != startStamp) {
+        return std::nullopt;
+    }
+    const RegisteredEndpoint &registration = entry->registration;
+    entry->hasAnnouncedLeaving = true;
+    this->leavingStarts.insert_or_assign(registration.endpoint.name,
+                                         LeavingStart { registration.startedAtMillis, now });
+    return EndpointChange { EndpointChange::Kind::Leaving, registration.endpoint.name,
+                            registration.service, registration.revision };
+}
+
+bool EndpointSelector::hasAnnouncedLeaving(const RegisteredEndpoint &registration) const
+{
+    const auto found = this->leavingStarts.find(registration.endpoint.name);
+    return found != this->leavingStarts.end()
+        && found->second.startedAtMillis == registration.startedAtMillis;
+}
+
+void EndpointSelector::forgetLeavingStarts(core::Instant now)
+{
+    std::erase_if(this->leavingStarts, [this, now](const auto &item) {
+        const auto &[name, start] = item;
+        return now - start.announcedAt > LeavingMemory && !this->entries.contains(name);
+    });
+}
+
 std::optional<core::ServiceName> EndpointSelector::findService(std::uint32_t serviceHash) const
 {
     const auto found = this->servicesByHash.find(serviceHash);
@@ -398,7 +442,8 @@
 {
     const settings::Endpoint &endpoint = entry.registration.endpoint;
     if (entry.registration.service != request.service || entry.registration.isLeaving
-        || entry.isMisdirected || this->withdrawnDomains.contains(endpoint.domain)
+        || entry.hasAnnouncedLeaving || entry.isMisdirected
+        || this->withdrawnDomains.contains(endpoint.domain)
         || std::ranges::find(request.excluded, endpoint.name) != request.excluded.end()) {
         return false;
     }
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -18,6 +18,7 @@
     Refused = 5, //!< a host refused a request; the item's subject is the service
     Redirected = 4, //!< a host sent a further attempt of a request that no endpoint has received
     ProbeEnded = 6, //!< an attempt ended that was a probe; the amount is the outcome
+    Leaving = 7, //!< an endpoint announced that it leaves; the account is its start stamp
 };
 
 // A response is late after the typical latency times LateLatencyFactor plus LateMargin.
@@ -83,6 +84,9 @@
     if (report.outcome == balance::Outcome::Answered) {
         this->dependencies.selector.onLatency(attempt.request, report.latency);
     }
+    if (report.notice) {
+        this->onNotice(attempt, *report.notice);
+    }
     const balance::Outcome outcome = this->classifyOutcome(attempt, report);
     const bool isProbe = attempt.choice.isProbe;
     this->dependencies.selector.onEnded(endpointHash, 0, outcome, this->dependencies.clock.now(),
@@ -92,6 +96,32 @@
                                         static_cast<std::uint16_t>(outcome), endpointHash, 0, 0 });
 }
 
+void FleetBalancer::onNotice(const ActiveAttempt &attempt, const balance::EndpointNotice &notice)
+{
+    const Choice &choice = attempt.choice;
+    if (notice.isLeaving && this->recordLeaving(choice.nameHash, choice.startStamp, "response")) {
+        this->dependencies.gossip.publish({ static_cast<std::uint8_t>(GossipKind::Leaving), 0,
+                                            choice.nameHash, choice.startStamp, 0 });
+    }
+}
+
+bool FleetBalancer::recordLeaving(std::uint32_t endpointHash, std::uint32_t startStamp,
+                                  std::string_view origin)
+{
+    const auto change = this->dependencies.selector.onLeaving(endpointHash, startStamp,
+                                                              this->dependencies.clock.now());
+    if (!change) {
+        return false;
+    }
+    this->dependencies.events.record({ "endpoint-changed",
+                                       { { "change", toText(change->kind) },
+                                         { "service", change->service.text() },
+                                         { "endpoint", change->name.text() },
+                                         { "revision", change->revision },
+                                         { "from", origin } } });
+    return true;
+}
+
 void FleetBalancer::onRefused(const core::ServiceName &service)
 {
     this->dependencies.selector.onRequestRefused(service, this->dependencies.clock.now());
@@ -153,6 +183,9 @@
         this->dependencies.selector.onStarted(item.subject, item.origin,
                                               this->dependencies.clock.now());
         return;
+    case GossipKind::Leaving:
+        this->recordLeaving(item.subject, item.account, "gossip");
+        return;
     case GossipKind::Ended:
     case GossipKind::ProbeEnded:
         if (item.amount <= LastOutcome) {
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -118,6 +118,7 @@
     std::size_t inFlight = 0; //!< known requests of all hosts at the endpoint
     bool isProbe = false; //!< chosen as a probe or since it was idle, regardless of its cost
     std::chrono::milliseconds evidenceAge { 0 }; //!< time since the last known outcome
+    std::uint32_t startStamp = 0; //!< identifies the start of the endpoint in gossip items
 };
 
 /**
@@ -175,6 +176,17 @@
     void onEnded(std::uint32_t endpointHash, std::uint32_t host, balance::Outcome outcome,
                  core::Instant now, bool isProbe = false);
 
+    /**
+     * Records that an endpoint announced in a response that it stops soon. Until it starts again it
+     * gets no requests, whatever its registration says.
+     *
+     * @param endpointHash hash of the endpoint's name
+     * @param startStamp see Choice::startStamp; another start of the endpoint is not affected
+     * @return the change, or nothing if it was known before or the start is another one
+     */
+    std::optional<EndpointChange> onLeaving(std::uint32_t endpointHash, std::uint32_t startStamp,
+                                            core::Instant now);
+
     /** @return the service whose name has the hash @p serviceHash, or nothing if unknown. */
     std::optional<core::ServiceName> findService(std::uint32_t serviceHash) const;
 
@@ -228,6 +240,14 @@
         bool hasLastRequestFailed = false;
         bool isUnused = true; //!< no host is known to have sent it a request
         bool isMisdirected = false; //!< another endpoint uses its address
+        bool hasAnnouncedLeaving = false; //!< see onLeaving()
+    };
+
+    /** A start of an endpoint that has announced that it leaves. */
+    struct LeavingStart
+    {
+        std::int64_t startedAtMillis = 0; //!< see RegisteredEndpoint::startedAtMillis
+        core::Instant announcedAt;
     };
 
     std::optional<EndpointChange::Kind> applyRegistration(const RegisteredEndpoint &registration,
@@ -242,6 +262,8 @@
         double idleFraction = 0; //!< idle endpoints as a fraction of the usable ones
     };
 
+    bool hasAnnouncedLeaving(const RegisteredEndpoint &registration) const;
+    void forgetLeavingStarts(core::Instant now);
     Candidates findCandidates(const balance::WorkRequest &request, core::Instant now);
     void applyColdTime(Entry &entry, core::Instant now);
     void updateOwnColdBucket(Entry &entry, core::Instant now);
@@ -265,6 +287,8 @@
     std::set<core::DomainName> withdrawnDomains;
     std::map<core::EndpointName, Entry> entries;
     std::map<std::uint32_t, Entry *> entriesByHash;
+    /** Kept beyond the registration, which may be missing for a while and then return. */
+    std::map<core::EndpointName, LeavingStart> leavingStarts;
     bool isEndpointListSet = false;
 };
 
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "damaskgate/balance/ibalancer.h"
 #include "damaskgate/core/event.h"
@@ -52,6 +53,10 @@
                                      const balance::ExchangeReport &report) const;
     void recordAttempt(const ActiveAttempt &attempt, const balance::ExchangeReport &report);
     void onGossipItem(const fleet::GossipItem &item);
+    void onNotice(const ActiveAttempt &attempt, const balance::EndpointNotice &notice);
+    /** @return whether it was not known before; @p origin is logged */
+    bool recordLeaving(std::uint32_t endpointHash, std::uint32_t startStamp,
+                       std::string_view origin);
     void onRemoteRefusal(std::uint32_t serviceHash);
     void onRemoteStart(const fleet::GossipItem &item, bool isRetry);
 
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -46,16 +46,41 @@
 protected:
     FleetBalancer_Tests()
     {
-        RegisteredEndpoint endpoint;
-        endpoint.endpoint.name = core::EndpointName("a");
-        endpoint.service = core::ServiceName("booking");
-        endpoint.revision = 1;
-        this->selector.setEndpoints({ &endpoint, 1 }, true, this->clock.now());
-        this->request.service = endpoint.service;
+        this->endpoint.endpoint.name = core::EndpointName("a");
+        this->endpoint.service = core::ServiceName("booking");
+        this->endpoint.startedAtMillis = 1000;
+        this->registerEndpoint();
+        this->request.service = this->endpoint.service;
         this->request.workspace = core::WorkspaceName("halls");
         this->request.traceId = "t-1";
     }
 
+    /** Registers the endpoint with a later revision. */
+    void registerEndpoint()
+    {
+        ++this->endpoint.revision;
+        ++this->endpoint.sequence;
+        this->selector.setEndpoints({ &this->endpoint, 1 }, true, this->clock.now());
+    }
+
+    /** @return whether an endpoint accepts a request. */
+    bool canAcquire()
+    {
+        bool isGranted = false;
+        this->balancer.acquire(this->request, [&isGranted](core::Result<balance::SlotGrant> grant) {
+            isGranted = grant.has_value();
+        });
+        return isGranted;
+    }
+
+    /** Sends a request whose response announces that the endpoint leaves. */
+    void receiveLeavingNotice()
+    {
+        balance::ExchangeReport report;
+        report.notice = balance::EndpointNotice { true };
+        this->balancer.release(this->acquire().id, report);
+    }
+
     balance::SlotGrant acquire()
     {
         balance::SlotGrant granted;
@@ -74,6 +99,7 @@
     FleetBalancer balancer { { this->clock, this->events, this->gossip, this->selector,
                                this->admission, this->retries } };
     balance::WorkRequest request;
+    RegisteredEndpoint endpoint;
 };
 
 TEST_F(FleetBalancer_Tests, Release_Failure_IsPublished)
@@ -143,6 +169,80 @@
                      before);
 }
 
+// Guards against requests to an endpoint that announced in a response that it leaves, while its
+// registration still says that it is ready.
+TEST_F(FleetBalancer_Tests, Release_EndpointAnnouncedThatItLeaves_GetsNoFurtherRequests)
+{
+    // [WHEN] A response announces that the endpoint leaves
+    this->receiveLeavingNotice();
+
+    // [THEN] It gets no requests, also after it has renewed its registration as ready
+    EXPECT_FALSE(this->canAcquire());
+    this->registerEndpoint();
+    EXPECT_FALSE(this->canAcquire());
+
+    // [WHEN] It has started again under the same name
+    this->endpoint.startedAtMillis = 2000;
+    this->registerEndpoint();
+
+    // [THEN] It gets requests
+    EXPECT_TRUE(this->canAcquire());
+}
+
+// Guards against the same after the registration has lapsed and returned.
+TEST_F(FleetBalancer_Tests, Release_LeavingEndpointIsRegisteredAgain_GetsNoFurtherRequests)
+{
+    // [GIVEN] An endpoint that announced that it leaves, and whose registration then lapsed
+    this->receiveLeavingNotice();
+    this->selector.setEndpoints({}, true, this->clock.now());
+
+    // [WHEN] The same start is registered as ready again
+    this->registerEndpoint();
+
+    // [THEN] It gets no requests
+    EXPECT_FALSE(this->canAcquire());
+}
+
+TEST_F(FleetBalancer_Tests, Release_EndpointAnnouncedThatItLeaves_OtherHostsLearnOfIt)
+{
+    // [GIVEN] The gossip items of a host that got the announcement
+    this->receiveLeavingNotice();
+    const std::vector<fleet::GossipItem> items = this->gossip.published;
+
+    // [WHEN] Another host receives them
+    FakeGossipChannel otherGossip;
+    EndpointSelector otherSelector { SelectionPolicy {}, core::DomainName(), 2 };
+    otherSelector.setEndpoints({ &this->endpoint, 1 }, true, this->clock.now());
+    const FleetBalancer other { { this->clock, this->events, otherGossip, otherSelector,
+                                  this->admission, this->retries } };
+    for (fleet::GossipItem item : items) {
+        item.origin = 9;
+        otherGossip.listener(item);
+    }
+
+    // [THEN] It does not use the endpoint either, and does not publish the announcement again
+    EXPECT_FALSE(otherSelector.choose(this->request, this->clock.now()));
+    EXPECT_TRUE(otherGossip.published.empty());
+}
+
+TEST_F(FleetBalancer_Tests, OnGossipItem_AnEarlierStartLeaves_TheEndpointIsUsed)
+{
+    // [GIVEN] The announcement of an endpoint that has started again since
+    this->receiveLeavingNotice();
+    this->endpoint.startedAtMillis = 2000;
+    this->registerEndpoint();
+
+    // [WHEN] Each item of the earlier start arrives late
+    const std::vector<fleet::GossipItem> late = this->gossip.published;
+    for (fleet::GossipItem item : late) {
+        item.origin = 9;
+        this->gossip.listener(item);
+    }
+
+    // [THEN] The new start gets requests
+    EXPECT_TRUE(this->canAcquire());
+}
+
 TEST_F(FleetBalancer_Tests, Acquire_NoEndpoint_IsRefusedAtOnceAsNotRun)
 {
     this->request.service = core::ServiceName("unknown");
