upstreams: leave an endpoint alone for the time that it asks for

An endpoint that answers 503 with Retry-After (seconds) gets no request of this host until the time is over or the endpoint has started again. A field that is no number is ignored; over an hour counts as an hour. attempt-ended has the time as pause_ms. If no other endpoint is left, the request is refused at once as not run, as before.

Tests: FleetBalancer_Tests.Release_RefusalWithPause_EndpointRestsForThatTime fails without the check in isUsable(); Retry_Tests.Notice_RefusalWithRetryAfter_IsReportedAsPause.

--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -48,6 +49,8 @@
 struct EndpointNotice
 {
     bool isLeaving = false; //!< it will stop soon and is to get no further requests
+    /** Time for which it wants no request from this host, after it has refused one. */
+    std::optional<std::chrono::milliseconds> pause {};
 
     bool operator==(const EndpointNotice &) const = default;
 };
--- a/src/entry/responsehead.cpp
+++ b/src/entry/responsehead.cpp
@@ -1,6 +1,8 @@
 #include "responsehead.h"
 
 #include <algorithm>
+#include <charconv>
+#include <chrono>
 
 #include "fieldnames.h"
 #include "headerrules.h"
@@ -12,6 +14,22 @@
 constexpr std::string_view FlagSet =
     "1"; // value of a field that is present only while something holds
 
+constexpr unsigned ServiceUnavailableStatus = 503;
+constexpr std::chrono::hours MaxPause { 1 }; // limit of a Retry-After field that is believed
+
+// Parses a Retry-After field in seconds, with or without decimals; the form with a date is ignored.
+std::optional<std::chrono::milliseconds> readPause(std::string_view text)
+{
+    double seconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size() || !(seconds > 0)) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> pause(
+        std::min(seconds, std::chrono::duration<double>(MaxPause).count()));
+    return std::chrono::ceil<std::chrono::milliseconds>(pause);
+}
+
 bool hasNoBody(const ResponseParser &parser, bool isHeadRequest)
 {
     const auto status = parser.get().result_int();
@@ -91,6 +109,9 @@
     balance::EndpointNotice notice;
     notice.isLeaving =
         !dialect.leavingField.empty() && toView(header[dialect.leavingField]) == FlagSet;
+    if (header.result_int() == ServiceUnavailableStatus) {
+        notice.pause = readPause(toView(header[http::field::retry_after]));
+    }
     return notice;
 }
 
--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -214,6 +214,41 @@
     EXPECT_FALSE(this->balancer.reports[1].notice->isLeaving);
 }
 
+// Guards against a refused request that is sent again while the endpoint wants none.
+TEST_F(Retry_Tests, Notice_RefusalWithRetryAfter_IsReportedAsPause)
+{
+    struct Case
+    {
+        const char *retryAfter;
+        std::optional<milliseconds> pause;
+    };
+    const Case cases[] {
+        { "2", milliseconds(2000) },
+        { "0.25", milliseconds(250) },
+        { "Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt },
+        { "-1", std::nullopt },
+        { "soon", std::nullopt },
+    };
+    this->start();
+    for (const Case &item : cases) {
+        SCOPED_TRACE(item.retryAfter);
+        // [WHEN] An endpoint refuses a request with a Retry-After field
+        RawPeer caller = this->sendNew("POST /book/1");
+        RawPeer refusing = respond(this->first,
+                                   "HTTP/1.1 503 Service Unavailable\r\nUpstream-Shed: 1\r\n"
+                                   "Connection: close\r\nContent-Length: 0\r\nRetry-After: "
+                                       + std::string(item.retryAfter) + "\r\n\r\n");
+        EXPECT_EQ(caller.readResponse().status(), 503);
+
+        // [THEN] The time is reported, if it is a number of seconds
+        EXPECT_TRUE(this->eventually([this] { return !this->balancer.reports.empty(); }));
+        this->call([this, &item] {
+            EXPECT_EQ(this->balancer.reports.back().notice->pause, item.pause);
+            this->balancer.reports.clear();
+        });
+    }
+}
+
 TEST_F(Retry_Tests, StatusVerdict_NoEndpointReached_IsUnavailable)
 {
     // [GIVEN] A dialect in which the status code alone distinguishes requests that have not run
--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -369,6 +369,15 @@
                             registration.service, registration.revision };
 }
 
+void EndpointSelector::onPause(std::uint32_t endpointHash, std::uint32_t startStamp,
+                               core::Duration pause, core::Instant now)
+{
+    Entry *entry = this->findByHash(endpointHash);
+    if (entry != nullptr && startStampOf(entry->registration) == startStamp) {
+        entry->pausedUntil = std::max(entry->pausedUntil, now + pause);
+    }
+}
+
 bool EndpointSelector::hasAnnouncedLeaving(const RegisteredEndpoint &registration) const
 {
     const auto found = this->leavingStarts.find(registration.endpoint.name);
@@ -442,7 +451,7 @@
 {
     const settings::Endpoint &endpoint = entry.registration.endpoint;
     if (entry.registration.service != request.service || entry.registration.isLeaving
-        || entry.hasAnnouncedLeaving || entry.isMisdirected
+        || entry.hasAnnouncedLeaving || entry.isMisdirected || now < entry.pausedUntil
         || this->withdrawnDomains.contains(endpoint.domain)
         || std::ranges::find(request.excluded, endpoint.name) != request.excluded.end()) {
         return false;
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -103,6 +103,10 @@
         this->dependencies.gossip.publish({ static_cast<std::uint8_t>(GossipKind::Leaving), 0,
                                             choice.nameHash, choice.startStamp, 0 });
     }
+    if (notice.pause) {
+        this->dependencies.selector.onPause(choice.nameHash, choice.startStamp, *notice.pause,
+                                            this->dependencies.clock.now());
+    }
 }
 
 bool FleetBalancer::recordLeaving(std::uint32_t endpointHash, std::uint32_t startStamp,
@@ -152,6 +156,9 @@
     if (isSampled && core::nameHash(attempt.request.traceId) % SampledAttemptsPerLine != 0) {
         return;
     }
+    const auto pause = report.notice
+        ? report.notice->pause.value_or(std::chrono::milliseconds::zero())
+        : std::chrono::milliseconds::zero();
     const auto latency = std::chrono::duration_cast<std::chrono::milliseconds>(report.latency);
     this->dependencies.events.record({ "attempt-ended",
                                        { { "trace", attempt.request.traceId },
@@ -164,6 +171,7 @@
                                          { "evidence_age_ms", attempt.choice.evidenceAge.count() },
                                          { "in_flight", attempt.choice.inFlight },
                                          { "leaving", isLeaving },
+                                         { "pause_ms", pause.count() },
                                          { "retrial", attempt.choice.isProbe } } });
 }
 
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -187,6 +187,14 @@
     std::optional<EndpointChange> onLeaving(std::uint32_t endpointHash, std::uint32_t startStamp,
                                             core::Instant now);
 
+    /**
+     * Records that an endpoint has refused a request of this host and wants none for @p pause.
+     *
+     * @param startStamp see Choice::startStamp; another start of the endpoint is not affected
+     */
+    void onPause(std::uint32_t endpointHash, std::uint32_t startStamp, core::Duration pause,
+                 core::Instant now);
+
     /** @return the service whose name has the hash @p serviceHash, or nothing if unknown. */
     std::optional<core::ServiceName> findService(std::uint32_t serviceHash) const;
 
@@ -241,6 +249,7 @@
         bool isUnused = true; //!< no host is known to have sent it a request
         bool isMisdirected = false; //!< another endpoint uses its address
         bool hasAnnouncedLeaving = false; //!< see onLeaving()
+        core::Instant pausedUntil {}; //!< see onPause()
     };
 
     /** A start of an endpoint that has announced that it leaves. */
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -77,7 +77,7 @@
     void receiveLeavingNotice()
     {
         balance::ExchangeReport report;
-        report.notice = balance::EndpointNotice { true };
+        report.notice = balance::EndpointNotice { true, {} };
         this->balancer.release(this->acquire().id, report);
     }
 
@@ -243,6 +243,23 @@
     EXPECT_TRUE(this->canAcquire());
 }
 
+// Guards against requests to an endpoint during the time for which it wants none.
+TEST_F(FleetBalancer_Tests, Release_RefusalWithPause_EndpointRestsForThatTime)
+{
+    // [WHEN] The endpoint refuses a request and wants none for 1.5 s
+    balance::ExchangeReport report;
+    report.outcome = balance::Outcome::Shed;
+    report.notice = balance::EndpointNotice { false, std::chrono::milliseconds(1500) };
+    this->balancer.release(this->acquire().id, report);
+
+    // [THEN] It gets none, and then it does
+    EXPECT_FALSE(this->canAcquire());
+    this->clock.advance(std::chrono::milliseconds(1400));
+    EXPECT_FALSE(this->canAcquire());
+    this->clock.advance(std::chrono::milliseconds(200));
+    EXPECT_TRUE(this->canAcquire());
+}
+
 TEST_F(FleetBalancer_Tests, Acquire_NoEndpoint_IsRefusedAtOnceAsNotRun)
 {
     this->request.service = core::ServiceName("unknown");
