entry, upstreams: read and log the limit that an endpoint announces

An endpoint in need announces the requests per second that it takes from all hosts together. No source read the field. attempt-ended has it as limit_per_s, so that the requests sent to a limited endpoint can be compared with its limit. No decision changes yet.

--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -51,6 +51,8 @@
     bool isLeaving = false; //!< it will stop soon and is to get no further requests
     /** Time for which it wants no request from this host, after it has refused one. */
     std::optional<std::chrono::milliseconds> pause {};
+    /** Limit of the requests per second from all hosts together; nothing: no limit. */
+    std::optional<double> requestsPerSecond {};
 
     bool operator==(const EndpointNotice &) const = default;
 };
--- a/src/entry/include/damaskgate/entry/dialect.h
+++ b/src/entry/include/damaskgate/entry/dialect.h
@@ -30,6 +30,8 @@
     std::string loadField; //!< response field: load of the endpoint
     std::string shedField; //!< response field: the endpoint did not run the request
     std::string leavingField; //!< response field: the endpoint stops soon; empty: not sent
+    std::string rateLimitField; //!< response field: requests per second that the endpoint takes
+                                //!< from all hosts together; empty: not sent
     std::string workspaceField; //!< request field: workspace, for endpoints; empty: not sent
     std::string expectedEndpointField; //!< request field: sole endpoint allowed to run the request;
                                        //!< empty: not sent
--- a/src/entry/responsehead.cpp
+++ b/src/entry/responsehead.cpp
@@ -17,16 +17,24 @@
 constexpr unsigned ServiceUnavailableStatus = 503;
 constexpr std::chrono::hours MaxPause { 1 }; // limit of a Retry-After field that is believed
 
-// Parses a Retry-After field in seconds, with or without decimals; the form with a date is ignored.
+// Parses a number that is not negative, with or without decimals.
+std::optional<double> readNumber(std::string_view text)
+{
+    double number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = parsed.ec == std::errc {} && parsed.ptr == text.data() + text.size();
+    return isNumber && number >= 0 ? std::optional(number) : std::nullopt;
+}
+
+// Parses a Retry-After field in seconds; the form with a date is ignored.
 std::optional<std::chrono::milliseconds> readPause(std::string_view text)
 {
-    double seconds = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    if (parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size() || !(seconds > 0)) {
+    const auto seconds = readNumber(text);
+    if (!seconds) {
         return std::nullopt;
     }
     const std::chrono::duration<double> pause(
-        std::min(seconds, std::chrono::duration<double>(MaxPause).count()));
+        std::min(*seconds, std::chrono::duration<double>(MaxPause).count()));
     return std::chrono::ceil<std::chrono::milliseconds>(pause);
 }
 
@@ -112,6 +120,9 @@
     if (header.result_int() == ServiceUnavailableStatus) {
         notice.pause = readPause(toView(header[http::field::retry_after]));
     }
+    if (!dialect.rateLimitField.empty()) {
+        notice.requestsPerSecond = readNumber(toView(header[dialect.rateLimitField]));
+    }
     return notice;
 }
 
--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -214,6 +214,34 @@
     EXPECT_FALSE(this->balancer.reports[1].notice->isLeaving);
 }
 
+// Guards against an announced limit that does not reach the balancer.
+TEST_F(Retry_Tests, Notice_EndpointAnnouncesALimit_IsReported)
+{
+    // [GIVEN] A dialect in which endpoints announce the rate that they accept
+    this->options.dialect.rateLimitField = "Endpoint-Limit";
+    this->start();
+    const std::pair<std::string, std::optional<double>> cases[] {
+        { "4.5", 4.5 }, { "0", 0.0 }, { "-2", std::nullopt }, { "many", std::nullopt }
+    };
+    for (const auto &[field, limit] : cases) {
+        SCOPED_TRACE(field);
+        // [WHEN] A response has the field
+        RawPeer caller = this->sendNew("GET /read/1");
+        RawPeer upstream = respond(this->first,
+                                   "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                                   "Content-Length: 2\r\nEndpoint-Limit: "
+                                       + field + "\r\n\r\nok");
+        EXPECT_EQ(caller.readResponse().body, "ok");
+
+        // [THEN] The limit is reported, if it is a number that is not negative
+        EXPECT_TRUE(this->eventually([this] { return !this->balancer.reports.empty(); }));
+        this->call([this, limit] {
+            EXPECT_EQ(this->balancer.reports.back().notice->requestsPerSecond, limit);
+            this->balancer.reports.clear();
+        });
+    }
+}
+
 // Guards against a refused request that is sent again while the endpoint wants none.
 TEST_F(Retry_Tests, Notice_RefusalWithRetryAfter_IsReportedAsPause)
 {
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -159,6 +159,7 @@
     const auto pause = report.notice
         ? report.notice->pause.value_or(std::chrono::milliseconds::zero())
         : std::chrono::milliseconds::zero();
+    const double limitPerSecond = report.notice ? report.notice->requestsPerSecond.value_or(0) : 0;
     const auto latency = std::chrono::duration_cast<std::chrono::milliseconds>(report.latency);
     this->dependencies.events.record({ "attempt-ended",
                                        { { "trace", attempt.request.traceId },
@@ -172,6 +173,7 @@
                                          { "in_flight", attempt.choice.inFlight },
                                          { "leaving", isLeaving },
                                          { "pause_ms", pause.count() },
+                                         { "limit_per_s", limitPerSecond },
                                          { "retrial", attempt.choice.isProbe } } });
 }
 
