upstreams: keep the rate that an endpoint announces, over all hosts

Cause: the field was not read, and nothing counted what all hosts together send to one endpoint. Class: a limit over the fleet without a fleet-wide count; one host's own count cannot keep it.

The gossip item that ends an attempt carries the limit that the response announced, or that it announced none, so that all hosts know it within the 100 ms of the gossip, at no further message, and a lost item is made good by the next one. An endpoint that no host may use now is left out, and if none is left the request is refused at once as not run.

--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -112,6 +112,7 @@
         if (now < entry.coldUntil) {
             this->updateOwnColdBucket(entry, now);
         }
+        this->updateRank(entry, now);
     }
 }
 
@@ -255,6 +256,9 @@
         chosen.coldBucket->tryConsume(now);
         chosen.ownColdBucket->tryConsume(now);
     }
+    if (chosen.rateLimit) {
+        chosen.rateLimit->consume(now);
+    }
     return Choice { { 0, chosen.registration.service, chosen.registration.endpoint },
                     chosen.nameHash,
                     chosen.faultEstimator.faultProbability(now),
@@ -318,6 +322,9 @@
     if (host != 0 && now < entry->coldUntil && entry->coldBucket) {
         entry->coldBucket->consumeRemote(now);
     }
+    if (host != 0 && entry->rateLimit) {
+        entry->rateLimit->consumeRemote(now);
+    }
 }
 
 void EndpointSelector::onEnded(std::uint32_t endpointHash, std::uint32_t host,
@@ -378,6 +385,38 @@
     }
 }
 
+bool EndpointSelector::onRateLimit(std::uint32_t endpointHash,
+                                   std::optional<double> requestsPerSecond, core::Instant now)
+{
+    Entry *entry = this->findByHash(endpointHash);
+    if (entry == nullptr) {
+        return false;
+    }
+    const bool isNews = entry->rateLimit.has_value() != requestsPerSecond.has_value();
+    if (!requestsPerSecond) {
+        entry->rateLimit.reset();
+    } else if (entry->rateLimit) {
+        entry->rateLimit->setRate(*requestsPerSecond, now);
+    } else {
+        entry->rateLimit.emplace(*requestsPerSecond, now);
+        this->updateRank(*entry, now);
+    }
+    return isNews;
+}
+
+void EndpointSelector::updateRank(Entry &entry, core::Instant now)
+{
+    if (entry.rateLimit) {
+        entry.rateLimit->setRank(this->hosts.rankFor(entry.nameHash), this->hosts.size(), now);
+    }
+}
+
+std::optional<core::EndpointName> EndpointSelector::nameOf(std::uint32_t endpointHash) const
+{
+    const Entry *entry = this->findByHash(endpointHash);
+    return entry == nullptr ? std::nullopt : std::optional(entry->registration.endpoint.name);
+}
+
 bool EndpointSelector::hasAnnouncedLeaving(const RegisteredEndpoint &registration) const
 {
     const auto found = this->leavingStarts.find(registration.endpoint.name);
@@ -456,6 +495,9 @@
         || std::ranges::find(request.excluded, endpoint.name) != request.excluded.end()) {
         return false;
     }
+    if (entry.rateLimit && !entry.rateLimit->hasToken(now)) {
+        return false;
+    }
     if (now >= entry.coldUntil || !entry.coldBucket) {
         return true;
     }
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -1,5 +1,6 @@
 #include "damaskgate/upstreams/fleetbalancer.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -14,10 +15,10 @@
 enum class GossipKind : std::uint8_t {
     Started = 1, //!< a host sent the first attempt of a request
     Retried = 2, //!< a host sent a further attempt of a request that an endpoint has received
-    Ended = 3, //!< an attempt ended; the amount is the outcome
+    Ended = 3, //!< an attempt ended; the amount is the outcome, the account the rate limit
     Refused = 5, //!< a host refused a request; the item's subject is the service
     Redirected = 4, //!< a host sent a further attempt of a request that no endpoint has received
-    ProbeEnded = 6, //!< an attempt ended that was a probe; the amount is the outcome
+    ProbeEnded = 6, //!< like Ended, for an attempt that was a probe
     Leaving = 7, //!< an endpoint announced that it leaves; the account is its start stamp
 };
 
@@ -27,6 +28,26 @@
 
 // Of the first attempts that succeed, about one in this many is logged. All others are logged.
 constexpr std::uint32_t SampledAttemptsPerLine = 16;
+// Rate limits in gossip items: the endpoint announced nothing, or no limit, or a limit, which is
+// sent in units of RateUnit requests per second, added to FirstRateLimit.
+constexpr std::uint32_t UnknownRateLimit = 0;
+constexpr std::uint32_t NoRateLimit = 1;
+constexpr std::uint32_t FirstRateLimit = 2;
+constexpr double RateUnit = 0.001;
+constexpr double MaxRateUnits = 4e9;
+
+std::uint32_t encodeRateLimit(const std::optional<balance::EndpointNotice> &notice)
+{
+    if (!notice) {
+        return UnknownRateLimit;
+    }
+    if (!notice->requestsPerSecond) {
+        return NoRateLimit;
+    }
+    const double units = std::min(*notice->requestsPerSecond / RateUnit, MaxRateUnits);
+    return FirstRateLimit + static_cast<std::uint32_t>(units);
+}
+
 constexpr std::uint16_t LastOutcome = static_cast<std::uint16_t>(balance::Outcome::Cancelled);
 
 } // namespace
@@ -93,7 +114,8 @@
                                         isProbe);
     const GossipKind kind = isProbe ? GossipKind::ProbeEnded : GossipKind::Ended;
     this->dependencies.gossip.publish({ static_cast<std::uint8_t>(kind),
-                                        static_cast<std::uint16_t>(outcome), endpointHash, 0, 0 });
+                                        static_cast<std::uint16_t>(outcome), endpointHash,
+                                        encodeRateLimit(report.notice), 0 });
 }
 
 void FleetBalancer::onNotice(const ActiveAttempt &attempt, const balance::EndpointNotice &notice)
@@ -107,6 +129,23 @@
         this->dependencies.selector.onPause(choice.nameHash, choice.startStamp, *notice.pause,
                                             this->dependencies.clock.now());
     }
+    this->recordRateLimit(choice.nameHash, notice.requestsPerSecond, "response");
+}
+
+void FleetBalancer::recordRateLimit(std::uint32_t endpointHash,
+                                    std::optional<double> requestsPerSecond,
+                                    std::string_view origin)
+{
+    EndpointSelector &selector = this->dependencies.selector;
+    if (!selector.onRateLimit(endpointHash, requestsPerSecond, this->dependencies.clock.now())) {
+        return;
+    }
+    const auto name = selector.nameOf(endpointHash);
+    this->dependencies.events.record({ "endpoint-rate-limit",
+                                       { { "endpoint", name ? name->text() : std::string() },
+                                         { "limited", requestsPerSecond.has_value() },
+                                         { "per_s", requestsPerSecond.value_or(0) },
+                                         { "from", origin } } });
 }
 
 bool FleetBalancer::recordLeaving(std::uint32_t endpointHash, std::uint32_t startStamp,
@@ -198,16 +237,26 @@
         return;
     case GossipKind::Ended:
     case GossipKind::ProbeEnded:
-        if (item.amount <= LastOutcome) {
-            this->dependencies.selector.onEnded(
-                item.subject, item.origin, static_cast<balance::Outcome>(item.amount),
-                this->dependencies.clock.now(),
-                static_cast<GossipKind>(item.kind) == GossipKind::ProbeEnded);
-        }
+        this->onRemoteEnd(item);
         return;
     }
 }
 
+void FleetBalancer::onRemoteEnd(const fleet::GossipItem &item)
+{
+    if (item.amount <= LastOutcome) {
+        this->dependencies.selector.onEnded(
+            item.subject, item.origin, static_cast<balance::Outcome>(item.amount),
+            this->dependencies.clock.now(),
+            static_cast<GossipKind>(item.kind) == GossipKind::ProbeEnded);
+    }
+    if (item.account == NoRateLimit) {
+        this->recordRateLimit(item.subject, std::nullopt, "gossip");
+    } else if (item.account >= FirstRateLimit) {
+        this->recordRateLimit(item.subject, (item.account - FirstRateLimit) * RateUnit, "gossip");
+    }
+}
+
 void FleetBalancer::onRemoteRefusal(std::uint32_t serviceHash)
 {
     const auto service = this->dependencies.selector.findService(serviceHash);
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -15,6 +15,7 @@
 #include "damaskgate/core/names.h"
 #include "damaskgate/limits/sharedbucket.h"
 #include "damaskgate/settings/settingstypes.h"
+#include "damaskgate/upstreams/endpointratelimit.h"
 #include "damaskgate/upstreams/faultestimator.h"
 #include "damaskgate/upstreams/hostranking.h"
 #include "damaskgate/upstreams/successrate.h"
@@ -195,6 +196,19 @@
     void onPause(std::uint32_t endpointHash, std::uint32_t startStamp, core::Duration pause,
                  core::Instant now);
 
+    /**
+     * Records whether an endpoint limits the requests of all hosts, as it announced in a response
+     * to this or another host.
+     *
+     * @param requestsPerSecond the limit; nothing if it announced none
+     * @return whether a limit was announced for the first time or lifted
+     */
+    bool onRateLimit(std::uint32_t endpointHash, std::optional<double> requestsPerSecond,
+                     core::Instant now);
+
+    /** @return the name of the endpoint with the name hash @p endpointHash, if known. */
+    std::optional<core::EndpointName> nameOf(std::uint32_t endpointHash) const;
+
     /** @return the service whose name has the hash @p serviceHash, or nothing if unknown. */
     std::optional<core::ServiceName> findService(std::uint32_t serviceHash) const;
 
@@ -250,6 +264,7 @@
         bool isMisdirected = false; //!< another endpoint uses its address
         bool hasAnnouncedLeaving = false; //!< see onLeaving()
         core::Instant pausedUntil {}; //!< see onPause()
+        std::optional<EndpointRateLimit> rateLimit {}; //!< see onRateLimit()
     };
 
     /** A start of an endpoint that has announced that it leaves. */
@@ -276,6 +291,7 @@
     Candidates findCandidates(const balance::WorkRequest &request, core::Instant now);
     void applyColdTime(Entry &entry, core::Instant now);
     void updateOwnColdBucket(Entry &entry, core::Instant now);
+    void updateRank(Entry &entry, core::Instant now);
     bool isUsable(Entry &entry, const balance::WorkRequest &request, core::Instant now) const;
     bool isFailureRateHigh(const core::ServiceName &service, core::Instant now) const;
     bool isIdleTooLong(const Entry &entry, bool isFailureRateHigh, core::Instant now) const;
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +58,9 @@
     /** @return whether it was not known before; @p origin is logged */
     bool recordLeaving(std::uint32_t endpointHash, std::uint32_t startStamp,
                        std::string_view origin);
+    void recordRateLimit(std::uint32_t endpointHash, std::optional<double> requestsPerSecond,
+                         std::string_view origin);
+    void onRemoteEnd(const fleet::GossipItem &item);
     void onRemoteRefusal(std::uint32_t serviceHash);
     void onRemoteStart(const fleet::GossipItem &item, bool isRetry);
 
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -1,3 +1,5 @@
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -260,6 +262,44 @@
     EXPECT_TRUE(this->canAcquire());
 }
 
+// Guards against a limit of the whole fleet that only the host knows that was told.
+TEST_F(FleetBalancer_Tests, Release_EndpointAnnouncesALimit_OtherHostsKeepIt)
+{
+    // [GIVEN] Another host, and an endpoint that announces a limit in a response to this one
+    FakeGossipChannel otherGossip;
+    EndpointSelector otherSelector { SelectionPolicy {}, core::DomainName(), 2 };
+    otherSelector.setEndpoints({ &this->endpoint, 1 }, true, this->clock.now());
+    const FleetBalancer other { { this->clock, this->events, otherGossip, otherSelector,
+                                  this->admission, this->retries } };
+    const auto exchange = [this, &otherGossip](std::optional<double> limit) {
+        balance::ExchangeReport report;
+        report.notice = balance::EndpointNotice { false, {}, limit };
+        this->balancer.release(this->acquire().id, report);
+        for (fleet::GossipItem item : std::exchange(this->gossip.published, {})) {
+            item.origin = 9;
+            otherGossip.listener(item);
+        }
+    };
+    exchange(0.5);
+
+    // [THEN] The other host does not exceed it
+    int sent = 0;
+    for (int tenths = 0; tenths < 80; ++tenths) {
+        this->clock.advance(std::chrono::milliseconds(100));
+        sent += otherSelector.choose(this->request, this->clock.now()) ? 1 : 0;
+    }
+    EXPECT_GT(sent, 0);
+    EXPECT_LE(sent, 4);
+
+    // [WHEN] A later response announces no limit
+    exchange(std::nullopt);
+
+    // [THEN] The other host uses the endpoint freely
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_TRUE(otherSelector.choose(this->request, this->clock.now()));
+    }
+}
+
 TEST_F(FleetBalancer_Tests, Acquire_NoEndpoint_IsRefusedAtOnceAsNotRun)
 {
     this->request.service = core::ServiceName("unknown");
--- a/src/upstreams/tests/selectorfleet.cpp
+++ b/src/upstreams/tests/selectorfleet.cpp
@@ -9,26 +9,39 @@
 
 SelectorFleet::SelectorFleet(int hosts, core::Duration gossipDelay) : gossipDelay(gossipDelay)
 {
-    std::vector<core::HostName> names;
-    names.reserve(static_cast<std::size_t>(hosts));
     for (int i = 0; i < hosts; ++i) {
-        names.emplace_back("host-" + std::to_string(i));
+        this->names.emplace_back("host-" + std::to_string(i));
     }
-    for (int i = 0; i < hosts; ++i) {
-        auto others = names;
-        others.erase(others.begin() + i);
-        this->selectors.push_back(
-            std::make_unique<EndpointSelector>(SelectionPolicy {}, core::DomainName(), i + 1));
-        this->selectors.back()->setHosts(names[i], others, this->now);
+    this->selectors.resize(this->names.size());
+    for (std::size_t host = 0; host < this->names.size(); ++host) {
+        this->startSelector(host);
     }
 }
 
+void SelectorFleet::startSelector(std::size_t host)
+{
+    auto others = this->names;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(host));
+    this->selectors[host] =
+        std::make_unique<EndpointSelector>(SelectionPolicy {}, core::DomainName(), host + 1);
+    this->selectors[host]->setHosts(this->names[host], others, this->now);
+    this->selectors[host]->setServices(this->services);
+    this->selectors[host]->setEndpoints(this->endpoints, true, this->now);
+}
+
+void SelectorFleet::restart(std::size_t host)
+{
+    this->startSelector(host);
+}
+
 void SelectorFleet::setEndpoints(const core::ServiceName &service, double coldRatePerSecond,
                                  std::span<const RegisteredEndpoint> endpoints)
 {
+    this->services = { { service, ServiceLimits { coldRatePerSecond } } };
+    this->endpoints.assign(endpoints.begin(), endpoints.end());
     for (const auto &selector : this->selectors) {
-        selector->setServices({ { service, ServiceLimits { coldRatePerSecond } } });
-        selector->setEndpoints(endpoints, true, this->now);
+        selector->setServices(this->services);
+        selector->setEndpoints(this->endpoints, true, this->now);
     }
 }
 
@@ -70,6 +83,17 @@
         });
 }
 
+void SelectorFleet::limit(std::size_t host, const Choice &choice,
+                          std::optional<double> requestsPerSecond)
+{
+    const std::uint32_t endpointHash = choice.nameHash;
+    this->broadcast(host,
+                    [this, endpointHash, requestsPerSecond](EndpointSelector &selector,
+                                                            std::uint32_t /*from*/) {
+                        selector.onRateLimit(endpointHash, requestsPerSecond, this->now);
+                    });
+}
+
 void SelectorFleet::refuse(std::size_t host, const core::ServiceName &service)
 {
     this->broadcast(host, [this, service](EndpointSelector &selector, std::uint32_t /*from*/) {
--- a/src/upstreams/tests/selectorfleet.h
+++ b/src/upstreams/tests/selectorfleet.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -30,6 +31,12 @@
     /** Reports from @p host how the request of @p choice ended. */
     void end(std::size_t host, const Choice &choice, balance::Outcome outcome);
 
+    /** Reports from @p host the rate limit that the endpoint of @p choice announced to it. */
+    void limit(std::size_t host, const Choice &choice, std::optional<double> requestsPerSecond);
+
+    /** Replaces the process of @p host by a new one, which knows the endpoints but no limits. */
+    void restart(std::size_t host);
+
     /** Reports from @p host that it refused a request. */
     void refuse(std::size_t host, const core::ServiceName &service);
 
@@ -49,7 +56,12 @@
 
     void broadcast(std::size_t from, Update update);
 
+    void startSelector(std::size_t host);
+
     core::Duration gossipDelay;
+    std::vector<core::HostName> names;
+    std::vector<RegisteredEndpoint> endpoints;
+    std::map<core::ServiceName, ServiceLimits> services;
     std::vector<std::unique_ptr<EndpointSelector>> selectors;
     std::deque<Pending> pending;
 };
