entry: do not take an older refusal for the answer to the next request

What callers of other operators saw: "not run, try again" for a request that an endpoint ran, or the request ran at a second endpoint, after a faulty endpoint had written an earlier refusal once more on a kept connection.

It can happen here, in one form. A repeated refusal with the id of its request is discarded, and the response to the present one is waited for; but one without any id was taken for the answer, with the verdict not-run, and the request was sent to another endpoint. Class: a missing proof taken for a positive one.

On a connection that has served earlier exchanges, a refusal counts only if it names the request. Without an id it is a broken response: may-have-run, no other endpoint, connection closed. On a new connection nothing earlier can have been refused, so it counts as before.

Test: FaultyEndpoint_Tests.Shed_EarlierRefusalRepeatedOnAKeptConnection_IsNotTakenForTheNext fails with the former attempt.cpp for the refusal without an id.

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -97,6 +97,7 @@
     const core::Duration maxIdle = this->plan.isRepeatable ? MaxIdleTime : MaxIdleTimeNotRepeatable;
     this->connection = this->context.pool.acquire(remote, this->context.now(), maxIdle);
     if (this->connection) {
+        this->isReused = true;
         co_return true;
     }
     this->connection = std::make_shared<UpstreamConnection>(this->context.ioContext.get_executor());
@@ -266,14 +267,26 @@
     co_return error_code {};
 }
 
+std::string_view Attempt::echoedId() const
+{
+    const std::string &exchangeField = this->dialect().exchangeField;
+    return toView(
+        this->parser->get()[exchangeField.empty() ? this->dialect().traceField : exchangeField]);
+}
+
 bool Attempt::isMatchingResponse() const
 {
-    if (this->dialect().exchangeField.empty()) {
-        const auto echoed = toView(this->parser->get()[this->dialect().traceField]);
-        return echoed.empty() || echoed == this->plan.traceId;
-    }
-    const auto echoed = toView(this->parser->get()[this->dialect().exchangeField]);
-    return echoed.empty() || echoed == std::to_string(this->exchangeId);
+    const std::string_view echoed = this->echoedId();
+    const bool isTraceEchoed = this->dialect().exchangeField.empty();
+    const std::string expected =
+        isTraceEchoed ? this->plan.traceId : std::to_string(this->exchangeId);
+    return echoed.empty() || echoed == expected;
+}
+
+// On a reused connection, a response without an id may be a repetition of an earlier one.
+bool Attempt::isAttributable() const
+{
+    return !this->isReused || !this->echoedId().empty();
 }
 
 bool Attempt::hasRequiredSignature() const
@@ -324,14 +337,16 @@
                    "the endpoint sent no valid response header");
         co_return;
     }
+    const bool isShedResponse = isShed(this->parser->get(), this->dialect());
     if (!this->isMatchingResponse() || !this->hasRequiredSignature()
-        || hasUnknownCoding(*this->parser) || this->parser->get().result_int() == 101) {
+        || (isShedResponse && !this->isAttributable()) || hasUnknownCoding(*this->parser)
+        || this->parser->get().result_int() == 101) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
                    "the endpoint sent a response that is invalid or belongs to another request");
         co_return;
     }
     this->recordResponse();
-    if (isShed(this->parser->get(), this->dialect())) {
+    if (isShedResponse) {
         this->result.verdict = core::Verdict::NotRun;
         const bool isMisdirected = this->parser->get().result_int() == MisdirectedStatus;
         this->fail(core::Reason::UpstreamShed,
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "damaskgate/balance/balancetypes.h"
 #include "damaskgate/core/error.h"
@@ -79,7 +80,9 @@
     asio::awaitable<error_code> discardResponse();
     const Dialect &dialect() const;
     asio::awaitable<error_code> receiveResponseHeader();
+    std::string_view echoedId() const;
     bool isMatchingResponse() const;
+    bool isAttributable() const;
     bool hasRequiredSignature() const;
     asio::awaitable<void> handleResponse();
     asio::awaitable<void> forwardResponse();
@@ -102,6 +105,7 @@
     core::Instant sentAt;
     OneShotPtr<bool> bodyStreamEnd; //!< null if no body is streamed
     bool isAborted = false;
+    bool isReused = false; //!< the connection has served earlier exchanges
     bool isBodySent = false;
     bool isHeadRead = false; //!< reading the response header has ended
     AttemptResult result;
