entry: test that a response head which ends midway is no response

What callers of other operators saw: a 200 with an empty or short body, framed as whole, after an endpoint had stopped in the middle of its answer's head and closed.

It does not happen here: the test closes the connection after each byte of a head but the last, and each caller gets 502 with the verdict may-have-run.

--- a/src/entry/tests/faultyendpoint_test.cpp
+++ b/src/entry/tests/faultyendpoint_test.cpp
@@ -88,3 +88,24 @@
     other.send("HTTP/1.1 200 OK\r\n" + traceField("t-2") + "Content-Length: 3\r\n\r\nnew");
     EXPECT_EQ(caller.readResponse().body, "new");
 }
+
+// Guards against a successful response made from a response head that broke off.
+TEST_F(FaultyEndpoint_Tests, Head_EndsMidway_IsNoResponse)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r";
+    this->start();
+    for (std::size_t size = 1; size <= head.size(); ++size) {
+        SCOPED_TRACE(size);
+        // [WHEN] An endpoint closes the connection within its response head
+        RawPeer caller = this->sendNew("POST /book/1");
+        RawPeer upstream = this->first.accept();
+        upstream.readRequestHead();
+        upstream.send(head.substr(0, size));
+        upstream.close();
+
+        // [THEN] The caller gets a failure that does not claim that the request has not run
+        const WireMessage response = caller.readResponse();
+        EXPECT_EQ(response.status(), 502);
+        EXPECT_EQ(response.field("Damaskgate-Verdict"), "may-have-run");
+    }
+}
