entry: stop reading a response that does not end

What can happen here: a request whose endpoint refuses it or fails it waits for its deadline while the rest of that response is read without end, although its outcome is known; interim responses without a final one do the same; a chunk header or trailer without end fills the process's memory until the deadline. A head without end was cut off before (64 KB). Class: reading until a peer says that it is done.

A response that is not forwarded is read for at most 64 KB and 100 ms, then its connection is closed; at most 16 interim responses are skipped; at most 64 KB are buffered without completing a chunk header or trailer, in either direction. A body that is forwarded is limited by the request's deadline, as before: it may be an answer.

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -22,6 +22,10 @@
 constexpr std::chrono::seconds MaxIdleTimeNotRepeatable { 1 };
 constexpr std::size_t MaxResponseHeaderBytes = 65536;
 constexpr int MaxUnmatchedResponses = 2; //!< discarded responses to earlier exchanges
+constexpr int MaxInterimResponses = 16;
+// A connection whose response is not forwarded is closed instead of reading more than this.
+constexpr std::size_t MaxDiscardedBytes = 65536;
+constexpr std::chrono::milliseconds MaxDiscardTime { 100 };
 constexpr unsigned MisdirectedStatus = 421;
 constexpr unsigned ServerErrorStatus = 500;
 constexpr std::string_view LastChunk = "0\r\n\r\n";
@@ -228,7 +232,7 @@
 
 asio::awaitable<error_code> Attempt::readResponseHead()
 {
-    do {
+    for (int interim = 0; interim <= MaxInterimResponses; ++interim) {
         this->parser.emplace();
         this->parser->header_limit(MaxResponseHeaderBytes);
         this->parser->body_limit(boost::none);
@@ -237,9 +241,12 @@
         if (ec) {
             co_return ec;
         }
-    } while (isInterim(*this->parser));
-    this->parser->eager(true);
-    co_return error_code {};
+        if (!isInterim(*this->parser)) {
+            this->parser->eager(true);
+            co_return error_code {};
+        }
+    }
+    co_return http::error::header_limit;
 }
 
 asio::awaitable<error_code> Attempt::receiveResponseHeader()
@@ -315,11 +322,35 @@
 {
     BodyReader<false> reader(this->connection->socket, this->connection->buffer, *this->parser);
     const auto space = std::make_unique_for_overwrite<char[]>(IoBufferSize);
-    error_code ec;
-    while (!ec && !reader.isDone()) {
-        ec = (co_await reader.readSome({ space.get(), IoBufferSize })).first;
+    std::size_t discarded = 0;
+    while (!reader.isDone()) {
+        const auto [ec, size] = co_await reader.readSome({ space.get(), IoBufferSize });
+        if (ec) {
+            co_return ec;
+        }
+        discarded += size;
+        if (discarded > MaxDiscardedBytes) {
+            co_return http::error::body_limit;
+        }
+    }
+    co_return error_code {};
+}
+
+// Reads the rest of a response whose outcome is known, so that its connection can be reused.
+asio::awaitable<void> Attempt::discardRest()
+{
+    asio::steady_timer timer(this->context.ioContext, MaxDiscardTime);
+    timer.async_wait([connection = this->connection](const error_code &ec) {
+        if (!ec) {
+            connection->reset();
+        }
+    });
+    const error_code ec = co_await this->discardResponse();
+    // The handler of an already expired timer can no longer be cancelled.
+    const bool isInTime = timer.cancel() > 0;
+    if (ec || !isInTime) {
+        this->connection->reset();
     }
-    co_return ec;
 }
 
 const Dialect &Attempt::dialect() const
@@ -352,14 +383,14 @@
         this->fail(core::Reason::UpstreamShed,
                    isMisdirected ? balance::Outcome::Misdirected : balance::Outcome::Shed,
                    "the endpoint shed the request");
-        co_await this->discardResponse();
+        co_await this->discardRest();
         co_return;
     }
     this->result.verdict = core::Verdict::Ran;
     if (this->plan.isFailureDiscarded && this->parser->get().result_int() >= ServerErrorStatus) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::ServerError,
                    "the endpoint returned a server error");
-        co_await this->discardResponse();
+        co_await this->discardRest();
         co_return;
     }
     this->result.status = static_cast<int>(this->parser->get().result_int());
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -78,6 +78,7 @@
     asio::awaitable<error_code> readResponseHead();
     asio::awaitable<error_code> readMatchingResponseHead();
     asio::awaitable<error_code> discardResponse();
+    asio::awaitable<void> discardRest();
     const Dialect &dialect() const;
     asio::awaitable<error_code> receiveResponseHeader();
     std::string_view echoedId() const;
--- a/src/entry/bodyreader.h
+++ b/src/entry/bodyreader.h
@@ -62,6 +62,9 @@
 private:
     asio::awaitable<error_code> receive()
     {
+        if (this->buffer.size() >= MaxUnparsedBytes) {
+            co_return http::error::header_limit;
+        }
         auto space = this->buffer.prepare(IoBufferSize);
         auto [ec, size] = co_await this->socket.async_read_some(space, WithError);
         this->buffer.commit(size);
@@ -72,6 +75,9 @@
         co_return ec;
     }
 
+    /** Limit of received bytes that do not complete a chunk header or trailer. */
+    static constexpr std::size_t MaxUnparsedBytes = 65536;
+
     asio::ip::tcp::socket &socket;
     beast::flat_buffer &buffer;
     Parser &parser;
--- a/src/entry/tests/faultyendpoint_test.cpp
+++ b/src/entry/tests/faultyendpoint_test.cpp
@@ -2,9 +2,13 @@
 
 using namespace damaskgate;
 using namespace damaskgate::entry;
+using balance::Outcome;
 
 namespace {
 
+constexpr std::size_t EndlessBytes = 4UL * 1024 * 1024; // more than any buffer on the way
+constexpr int EndlessLines = 20000;
+
 std::string shedWithTrace(const std::string &field)
 {
     return "HTTP/1.1 503 Service Unavailable\r\nUpstream-Shed: 1\r\n" + field
@@ -16,6 +20,24 @@
     return "Damaskgate-Trace: " + trace + "\r\n";
 }
 
+/** Head of a response that is followed by bytes without end. */
+struct EndlessCase
+{
+    const char *name;
+    std::string head;
+    int status; //!< of the response to the caller
+};
+
+const EndlessCase EndlessCases[] {
+    { "FieldOfTheHead", "HTTP/1.1 200 OK\r\nX-A: ", 502 },
+    { "StatusLine", "HTTP/1.1 200 ", 502 },
+    { "BodyOfARefusal",
+      "HTTP/1.1 503 Service Unavailable\r\nUpstream-Shed: 1\r\nContent-Length: 99999999\r\n\r\n",
+      503 },
+    { "BodyOfARefusalUntilClose", "HTTP/1.1 503 Service Unavailable\r\nUpstream-Shed: 1\r\n\r\n",
+      503 },
+};
+
 } // namespace
 
 /** Endpoints that violate HTTP or send more than one response to a request. */
@@ -109,3 +131,77 @@
         EXPECT_EQ(response.field("Damaskgate-Verdict"), "may-have-run");
     }
 }
+
+// Guards against requests that wait for their deadline while an endpoint sends bytes without end.
+TEST_F(FaultyEndpoint_Tests, Response_BytesWithoutEnd_AreCutOff)
+{
+    this->start();
+    for (const EndlessCase &item : EndlessCases) {
+        SCOPED_TRACE(item.name);
+        // [WHEN] An endpoint sends bytes without end
+        RawPeer caller = this->sendNew("POST /book/1");
+        RawPeer upstream = this->first.accept();
+        upstream.readRequestHead();
+        upstream.send(item.head);
+        const std::size_t sent = upstream.sendUntilBlocked(EndlessBytes);
+
+        // [THEN] The caller gets its response, and the connection to the endpoint is closed
+        EXPECT_EQ(caller.readResponse().status(), item.status);
+        EXPECT_LT(sent, EndlessBytes);
+        EXPECT_TRUE(upstream.isClosedByPeer());
+    }
+}
+
+// Guards against the same by interim responses, of which none is final.
+TEST_F(FaultyEndpoint_Tests, Response_InterimWithoutEnd_IsCutOff)
+{
+    // [WHEN] An endpoint sends only interim responses
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    for (int i = 0; i < EndlessLines; ++i) {
+        upstream.send("HTTP/1.1 102 Processing\r\n\r\n");
+    }
+
+    // [THEN] The caller gets a failure
+    EXPECT_EQ(caller.readResponse().status(), 502);
+    EXPECT_TRUE(upstream.isClosedByPeer());
+}
+
+// Guards against unbounded memory for a chunk header that never ends.
+TEST_F(FaultyEndpoint_Tests, Response_ChunkHeaderWithoutEnd_IsCutOff)
+{
+    // [WHEN] An endpoint starts a body and then sends a chunk header without end
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n4;x=");
+    const std::size_t sent = upstream.sendUntilBlocked(EndlessBytes);
+
+    // [THEN] The response ends incomplete, and the connection to the endpoint is closed
+    EXPECT_FALSE(caller.readResponse().isComplete);
+    EXPECT_LT(sent, EndlessBytes);
+    EXPECT_TRUE(upstream.isClosedByPeer());
+}
+
+// Guards against a retry that waits for the rest of the failure that it replaces.
+TEST_F(FaultyEndpoint_Tests, Retry_FailureWithoutEnd_IsNotWaitedFor)
+{
+    // [WHEN] An endpoint fails a repeatable request and does not finish its response
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer failing = this->first.accept();
+    failing.readRequestHead();
+    failing.send("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 10\r\n\r\nhalf");
+
+    // [THEN] The other endpoint gets the request, and the unfinished connection is closed
+    RawPeer healthy = this->second.accept();
+    healthy.readRequestHead();
+    healthy.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(caller.readResponse().body, "ok");
+    EXPECT_TRUE(failing.isClosedByPeer());
+    EXPECT_EQ(this->call([this] { return this->balancer.reports.front().outcome; }),
+              Outcome::ServerError);
+}
