mirror: a change of readers is no outage of the source

Cause: a registration that vanishes while the source is away may have lapsed because its endpoint could not renew it, so it is kept until 2.2 s after the source is back. But "away" was taken from the readers: when both were cut off or killed, every host took the source for lost until other hosts read it, 0.4 s later, and kept each registration that the source removed meanwhile, 2.6 s in all. Endpoints that leave without a word just have their registration removed. Class: the failure of the observer taken for the failure of what it observes.

A gap in the contact counts as an outage only if it is longer than the time between two status reports of an endpoint (from the platform's settings): a registration lapses after three missed ones, so none can have lapsed in a shorter one, even if the last contact was some time before the gap was noticed. Short gaps that follow each other add up. A longer gap is treated as before.

--- a/src/gateway/include/damaskgate/gateway/gateway.h
+++ b/src/gateway/include/damaskgate/gateway/gateway.h
@@ -40,6 +40,8 @@
     upstreams::RetryLimits retries;
     upstreams::SelectionPolicy selectionPolicy;
     std::chrono::milliseconds lookupTimeToLive { 4000 };
+    /** Time between two status reports of an endpoint; several must be missed before it lapses. */
+    std::chrono::milliseconds registrationInterval { 1500 };
     std::uint8_t corePercent = 0; //!< CPU limit of the host in percent of one core; 0: unknown
     std::size_t maxConnections = 2900; //!< open connections from callers
     std::chrono::milliseconds stopGrace { 6000 }; //!< longest time from the stop signal to the exit
--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -46,9 +46,10 @@
     /**
      * @param peerPort TCP port on which the other hosts serve their changes
      * @param corePercent CPU quota of this host, in percent of one processor core
+     * @param maxSourceGap see SourceReachability
      */
     MirrorService(const Dependencies &dependencies, std::uint16_t peerPort,
-                  std::uint8_t corePercent);
+                  std::uint8_t corePercent, core::Duration maxSourceGap);
 
     /** Sets the function that is called after items changed. Call it before start(). */
     void setListener(Listener listener);
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -75,10 +75,11 @@
 } // namespace
 
 MirrorService::MirrorService(const Dependencies &dependencies, std::uint16_t peerPort,
-                             std::uint8_t corePercent)
+                             std::uint8_t corePercent, core::Duration maxSourceGap)
     : context(dependencies.context), clock(dependencies.clock), events(dependencies.events),
       fleet(dependencies.fleet), source(dependencies.source), peerPort(peerPort),
-      election(this->fleet.table().self(), corePercent), reachability(this->clock.now()),
+      election(this->fleet.table().self(), corePercent),
+      reachability(this->clock.now(), maxSourceGap),
       peerReader(this->context, { PeerTimeout, MaxReplyBytes, PeerTotalTimeout }),
       tickTimer(this->context), pauseTimer(this->context)
 {
--- a/src/mirror/sourcereachability.cpp
+++ b/src/mirror/sourcereachability.cpp
@@ -9,7 +9,9 @@
 
 } // namespace
 
-SourceReachability::SourceReachability(core::Instant startedAt) : startedAt(startedAt) {}
+SourceReachability::SourceReachability(core::Instant startedAt, core::Duration maxGap)
+    : startedAt(startedAt), maxGap(maxGap), regainedAt(startedAt)
+{}
 
 bool SourceReachability::update(bool isReached, core::Instant now)
 {
@@ -17,12 +19,22 @@
         return false;
     }
     if (!isReached) {
+        if (!this->gap || now - this->regainedAt > this->maxGap) {
+            this->gap = Gap { now, *this->reachedSince };
+        }
         this->reachedSince.reset();
         return true;
     }
     const bool isReachedAtStartup =
         !this->hasBeenReached && now - this->startedAt <= StartupGracePeriod;
-    this->reachedSince = isReachedAtStartup ? this->startedAt - AssumedReachableBeforeStart : now;
+    const bool isShortGap = this->gap && now - this->gap->startedAt <= this->maxGap;
+    this->reachedSince = isReachedAtStartup ? this->startedAt - AssumedReachableBeforeStart
+        : isShortGap                        ? this->gap->reachedSince
+                                            : now;
+    if (!isShortGap) {
+        this->gap.reset();
+    }
+    this->regainedAt = now;
     this->hasBeenReached = true;
     return true;
 }
