reading: comments of the change, and an accessor that nothing used

Read as a newcomer would: four comments that needed a second look are reworded, and EndpointRateLimit::requestsPerSecond(), which no code called, is gone. No behaviour changes.

--- a/src/entry/responsehead.cpp
+++ b/src/entry/responsehead.cpp
@@ -11,8 +11,7 @@
 
 namespace {
 
-constexpr std::string_view FlagSet =
-    "1"; // value of a field that is present only while something holds
+constexpr std::string_view FlagSet = "1"; // value of a field that announces a state
 
 constexpr unsigned ServiceUnavailableStatus = 503;
 constexpr std::chrono::hours MaxPause { 1 }; // limit of a Retry-After field that is believed
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -401,8 +401,8 @@
 {
     std::string target =
         std::string(ChangesPath) + "?after=" + std::to_string(this->copy.contentRevision());
-    // Zero stands for no revision. It is sent too: an absent list means that the sender of the
-    // request cannot restore compressed values.
+    // Zero is no revision. It is always sent, since a request without the list is answered with
+    // uncompressed values.
     target += "&held=0";
     if (!this->isWholePullNeeded) {
         for (const std::uint64_t revision : this->copy.largeItemRevisions()) {
--- a/src/mirror/valuecompression.cpp
+++ b/src/mirror/valuecompression.cpp
@@ -26,8 +26,7 @@
     }
 };
 
-// Returns the logarithm of a window that reaches from the end of the value to the begin of the
-// base.
+// Returns the binary logarithm of a window that covers the base and the value.
 int windowLog(std::size_t bytes)
 {
     return std::clamp(static_cast<int>(std::bit_width(bytes)), MinWindowLog, MaxWindowLog);
--- a/src/upstreams/endpointratelimit.cpp
+++ b/src/upstreams/endpointratelimit.cpp
@@ -55,16 +55,11 @@
         this->ownBucket->setLimits(this->ownLimits(), now);
         return;
     }
-    // Starts empty: the hosts of lower rank may have used the endpoint just before.
+    // Starts empty, since another host may have used this place just before.
     this->ownBucket.emplace(this->ownLimits(), now);
     this->ownBucket->tryConsume(now);
 }
 
-double EndpointRateLimit::requestsPerSecond() const
-{
-    return this->announcedRate;
-}
-
 bool EndpointRateLimit::hasToken(core::Instant now)
 {
     return this->ownBucket && this->ownBucket->hasToken(now) && this->fleetBucket.hasToken(now);
--- a/src/upstreams/include/damaskgate/upstreams/endpointratelimit.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointratelimit.h
@@ -32,9 +32,6 @@
      */
     void setRank(std::size_t rank, std::size_t hostCount, core::Instant now);
 
-    /** @return the announced limit, in requests per second of all hosts together. */
-    double requestsPerSecond() const;
-
     /** @return whether this host may send a request now. */
     bool hasToken(core::Instant now);
 
@@ -49,7 +46,7 @@
     limits::BucketLimits ownLimits() const;
     std::size_t maxHosts() const;
 
-    double announcedRate;
+    double announcedRate; //!< requests per second of all hosts together
     std::size_t rank = 0;
     std::size_t hostCount = 1;
     limits::SharedBucket fleetBucket; //!< requests of all hosts
