--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -69,9 +69,10 @@
     bool canAcquire()
     {
         bool isGranted = false;
-        this->balancer.acquire(this->request, [&isGranted](core::Result<balance::SlotGrant> grant) {
-            isGranted = grant.has_value();
-        });
+        this->balancer.acquire(this->request,
+                               [&isGranted](const core::Result<balance::SlotGrant> &grant) {
+                                   isGranted = grant.has_value();
+                               });
         return isGranted;
     }
 
