fleet: news of a domain reaches every host of the others in each round

Cause: each host sent its indirect heartbeats to one host of each other domain, (rank + round) modulo the size of that domain. The n senders of a domain thus covered a window of n of the m receivers. Where n < m, a receiver heard of the domain for n rounds and then not for m - n; beyond 4 s all its hosts were lost to it. Domains of the earlier deployments had equal sizes. The same assumption stood in the size of a message: of a domain with more than 90 hosts, each round reported 90 at random, so that the others were lost to a receiver now and then.

Change: the senders of a domain divide its receivers by rank, at most m / n rounded up for each sender, and the division moves on by one receiver in each round. A domain that does not fit a message is reported in several.

Ruled out: local forwarding of remote news (a list of each domain in each local heartbeat costs more than the m / n messages wherever n is not far below m).

--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -35,7 +35,7 @@
 
 constexpr int IndirectHeartbeatPeriodTicks = 4;
 
-// A message with this many indirect heartbeats fits a datagram.
+// A message with this many indirect heartbeats fits a datagram. Larger domains need several.
 constexpr std::size_t MaxIndirectHeartbeatsPerMessage = 90;
 
 } // namespace
@@ -268,14 +268,19 @@
     if (this->ticks % IndirectHeartbeatPeriodTicks != 0) {
         return;
     }
-    Heartbeat heartbeat = this->makeHeartbeat();
-    heartbeat.indirectHeartbeats = this->fleet.indirectHeartbeats(now);
-    std::ranges::shuffle(heartbeat.indirectHeartbeats, this->random);
-    heartbeat.indirectHeartbeats.resize(
-        std::min(heartbeat.indirectHeartbeats.size(), MaxIndirectHeartbeatsPerMessage));
-    this->sendTo(
-        this->fleet.indirectHeartbeatTargets(this->ticks / IndirectHeartbeatPeriodTicks, now),
-        heartbeat);
+    const auto targets =
+        this->fleet.indirectHeartbeatTargets(this->ticks / IndirectHeartbeatPeriodTicks, now);
+    const auto all = this->fleet.indirectHeartbeats(now);
+    // The first message is sent even if it is empty: it is the heartbeat of this host.
+    std::size_t sent = 0;
+    do {
+        const auto part = std::span(all).subspan(
+            sent, std::min(MaxIndirectHeartbeatsPerMessage, all.size() - sent));
+        Heartbeat heartbeat = this->makeHeartbeat();
+        heartbeat.indirectHeartbeats.assign(part.begin(), part.end());
+        this->sendTo(targets, heartbeat);
+        sent += part.size();
+    } while (sent < all.size());
 }
 
 void FleetService::requestHostLists()
--- a/src/fleet/fleettable.cpp
+++ b/src/fleet/fleettable.cpp
@@ -76,15 +76,26 @@
     return indirectHeartbeats;
 }
 
+// The local hosts divide the hosts of a remote domain by rank, so that each receiver hears from one
+// of them in each round whatever the sizes of the two domains. The assignment moves on by one host
+// in each round, so that a receiver does not depend on one sender.
 std::vector<core::HostName> FleetTable::indirectHeartbeatTargets(std::uint64_t round,
                                                                  core::Instant now) const
 {
     const auto local = this->localHosts(now);
     const auto rank = static_cast<std::uint64_t>(
         std::ranges::count_if(local, [this](const auto &name) { return name < this->selfName; }));
+    const std::uint64_t senderCount = local.size() + 1;
     std::vector<core::HostName> targets;
     for (const auto &[domain, hosts] : this->remoteHostsByDomain(now)) {
-        targets.push_back(hosts[(rank + round) % hosts.size()]);
+        if (rank >= hosts.size()) {
+            // More senders than receivers: the surplus senders repeat the first receivers.
+            targets.push_back(hosts[(rank + round) % hosts.size()]);
+            continue;
+        }
+        for (std::uint64_t position = rank; position < hosts.size(); position += senderCount) {
+            targets.push_back(hosts[(position + round) % hosts.size()]);
+        }
     }
     return targets;
 }
--- a/src/fleet/include/damaskgate/fleet/fleetservice.h
+++ b/src/fleet/include/damaskgate/fleet/fleetservice.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <random>
 #include <span>
 #include <string>
 #include <vector>
@@ -113,7 +112,6 @@
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer flushTimer;
     std::unique_ptr<GossipQueues> gossipQueues;
-    std::mt19937_64 random { std::random_device {}() };
     std::size_t liveCount = 0;
     int ticks = 0;
     bool isFlushScheduled = false;
--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -70,9 +70,10 @@
     std::vector<IndirectHeartbeat> indirectHeartbeats(core::Instant now) const;
 
     /**
-     * @return for each other failure domain, the host to which this host sends its indirect
-     *         heartbeats in @p round; the local hosts select different receivers in the same round
-     *         where there are enough
+     * @return the hosts of other failure domains to which this host sends its indirect heartbeats
+     *         in @p round. If the local hosts agree on the live hosts, each host of another domain
+     *         is a target of at least one of them in each round. For each other domain, a host has
+     *         at most as many targets as that domain has hosts for each local host, rounded up.
      */
     std::vector<core::HostName> indirectHeartbeatTargets(std::uint64_t round,
                                                          core::Instant now) const;
