upstreams: a refusal for a rate is no failure of the service

Change: only refusals for a lack of usable endpoints count: no endpoint, full queue, deadline passed or too short while queued, shed, unreachable. A rate limit, a key, a malformed request, a host without settings or a host that stops say nothing about the endpoints.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,7 +79,7 @@
         this->recorder.onRequestFinished(record);
         const bool isRefused = record.reason && record.attempts == 0 && !record.isCancelled;
         if (isRefused && !record.service.isEmpty()) {
-            this->balancer.onRefused(record.service);
+            this->balancer.onRefused(record.service, *record.reason);
         }
     }
 
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -1,6 +1,7 @@
 #include "damaskgate/upstreams/fleetbalancer.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -48,6 +49,18 @@
     return FirstRateLimit + static_cast<std::uint32_t>(units);
 }
 
+// Returns whether a request that no endpoint received was refused since the endpoints of its
+// service could not serve it. Other reasons, such as the rate limit of a workspace, say nothing
+// about them.
+bool isLackOfCapacity(core::Reason reason)
+{
+    using core::Reason;
+    constexpr std::array Reasons { Reason::QueueFull,    Reason::DeadlineTooShort,
+                                   Reason::NoEndpoint,   Reason::DeadlineExceeded,
+                                   Reason::UpstreamShed, Reason::UpstreamUnreachable };
+    return std::ranges::find(Reasons, reason) != Reasons.end();
+}
+
 constexpr std::uint16_t LastOutcome = static_cast<std::uint16_t>(balance::Outcome::Cancelled);
 
 } // namespace
@@ -165,8 +178,11 @@
     return true;
 }
 
-void FleetBalancer::onRefused(const core::ServiceName &service)
+void FleetBalancer::onRefused(const core::ServiceName &service, core::Reason reason)
 {
+    if (!isLackOfCapacity(reason)) {
+        return;
+    }
     this->dependencies.selector.onRequestRefused(service, this->dependencies.clock.now());
     this->dependencies.gossip.publish({ static_cast<std::uint8_t>(GossipKind::Refused), 0,
                                         core::nameHash(service.text()), 0, 0 });
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -40,8 +40,12 @@
     void cancel(std::uint64_t requestId) override;
     void release(std::uint64_t grantId, const balance::ExchangeReport &report) override;
 
-    /** Records and publishes that this host refused a request to @p service before sending it. */
-    void onRefused(const core::ServiceName &service);
+    /**
+     * Records that this host refused a request to @p service before sending it. The refusal counts
+     * in the failure rate of the service, and is published, only if @p reason is a lack of usable
+     * endpoints: the failure rate decides whether suspected endpoints get requests.
+     */
+    void onRefused(const core::ServiceName &service, core::Reason reason);
 
 private:
     struct ActiveAttempt
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -1,4 +1,5 @@
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -301,6 +302,55 @@
     }
 }
 
+TEST_F(FleetBalancer_Tests, OnRefused_EachReason_OnlyALackOfCapacityIsPublished)
+{
+    // [GIVEN] Each reason for which a request can be refused
+    using core::Reason;
+    const std::set<Reason> lackOfCapacity { Reason::QueueFull,    Reason::DeadlineTooShort,
+                                            Reason::NoEndpoint,   Reason::DeadlineExceeded,
+                                            Reason::UpstreamShed, Reason::UpstreamUnreachable };
+    for (int value = 0; value <= static_cast<int>(Reason::Internal); ++value) {
+        const auto reason = static_cast<Reason>(value);
+        this->gossip.published.clear();
+
+        // [WHEN] A request is refused for it
+        this->balancer.onRefused(this->request.service, reason);
+
+        // [THEN] The other hosts are told if the endpoints could not serve the request
+        EXPECT_EQ(this->gossip.published.size(), lackOfCapacity.contains(reason) ? 1U : 0U)
+            << core::toText(reason);
+    }
+}
+
+// The load: one workspace far above its rate calls a service with a faulty endpoint. Its refusals
+// must not make the orders of the other workspaces test whether the endpoint has recovered.
+TEST_F(FleetBalancer_Tests, OnRefused_WorkspaceAboveItsRate_SuspectedEndpointGetsNoOrders)
+{
+    // [GIVEN] A suspected endpoint and a healthy one
+    RegisteredEndpoint healthy = this->endpoint;
+    healthy.endpoint.name = core::EndpointName("b");
+    const std::vector<RegisteredEndpoint> both { this->endpoint, healthy };
+    this->selector.setEndpoints(both, true, this->clock.now());
+    const std::uint32_t suspected = core::nameHash("a");
+    for (int i = 0; i < 3; ++i) {
+        this->selector.onStarted(suspected, 0, this->clock.now());
+        this->selector.onEnded(suspected, 0, balance::Outcome::BrokenOff, this->clock.now());
+    }
+
+    // [WHEN] Half of the requests are refused for the rate of their workspace for 4 s
+    int sentToSuspected = 0;
+    for (int i = 0; i < 100; ++i) {
+        this->clock.advance(std::chrono::milliseconds(40));
+        this->balancer.onRefused(this->request.service, core::Reason::RateLimited);
+        const auto grant = this->acquire();
+        sentToSuspected += grant.endpoint.name == this->endpoint.endpoint.name ? 1 : 0;
+        this->balancer.release(grant.id, {});
+    }
+
+    // [THEN] None of the others goes to the suspected endpoint
+    EXPECT_EQ(sentToSuspected, 0);
+}
+
 TEST_F(FleetBalancer_Tests, Acquire_NoEndpoint_IsRefusedAtOnceAsNotRun)
 {
     this->request.service = core::ServiceName("unknown");
