entry, upstreams: a failure that is retried elsewhere is no unserved request

The failure rate of a service counted attempts. A read that failed at a faulty endpoint and succeeded at the next one raised it although the caller was served, and above 10% orders too were sent to suspected endpoints, where each failure is a lost order.

Change: an attempt whose request is sent to another endpoint is marked so when its slot is released, and its failure does not count, at this host or, by the gossip item, at the others. It stays evidence against the endpoint.

--- a/src/balance/include/damaskgate/balance/balancetypes.h
+++ b/src/balance/include/damaskgate/balance/balancetypes.h
@@ -64,6 +64,7 @@
     core::Duration latency {}; //!< time from the first byte sent to the first byte received
     std::optional<LoadReport> load;
     std::optional<EndpointNotice> notice {}; //!< nothing if no response was received
+    bool isRetried = false; //!< the attempt failed and the request is sent to another endpoint
 };
 
 /** Request for a slot of an endpoint. */
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -290,6 +290,7 @@
         if (!this->mayRetry(result, attempts)) {
             co_return tl::unexpected(*result.error);
         }
+        slot.setRetried();
         attempts += result.error->reason == core::Reason::UpstreamUnreachable ? 0 : 1;
         lastError = result.error;
         this->failedEndpoints.push_back(grant->endpoint.name);
--- a/src/entry/slotguard.h
+++ b/src/entry/slotguard.h
@@ -26,6 +26,12 @@
         this->report = next;
     }
 
+    /** Adds to the report that the request is sent to another endpoint. */
+    void setRetried()
+    {
+        this->report.isRetried = true;
+    }
+
 private:
     balance::IBalancer &balancer;
     std::uint64_t grantId;
--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -46,6 +46,8 @@
     EXPECT_EQ(caller.readResponse().body, "ok");
     ASSERT_TRUE(this->hasReports(2));
     EXPECT_EQ(this->balancer.reports[0].outcome, Outcome::ServerError);
+    EXPECT_TRUE(this->balancer.reports[0].isRetried);
+    EXPECT_FALSE(this->balancer.reports[1].isRetried);
 }
 
 TEST_F(Retry_Tests, ServerError_WorkThatMayNotRepeat_IsDelivered)
@@ -57,6 +59,8 @@
     EXPECT_EQ(response.status(), 500);
     EXPECT_EQ(response.body, "bad");
     EXPECT_FALSE(this->second.hasPending());
+    ASSERT_TRUE(this->hasReports(1));
+    EXPECT_FALSE(this->balancer.reports[0].isRetried);
 }
 
 TEST_F(Retry_Tests, ServerError_LastAttempt_IsDelivered)
--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -328,7 +328,7 @@
 }
 
 void EndpointSelector::onEnded(std::uint32_t endpointHash, std::uint32_t host,
-                               balance::Outcome outcome, core::Instant now, bool isProbe)
+                               balance::Outcome outcome, core::Instant now, bool isFailureCounted)
 {
     Entry *entry = this->findByHash(endpointHash);
     if (entry == nullptr) {
@@ -352,7 +352,7 @@
         entry->hasLastRequestFailed = isFailure(outcome);
         // Failed probes do not count in the failure rate, or they would cause more probes. A
         // request that was in flight when its endpoint became suspected is not a probe.
-        if (!entry->hasLastRequestFailed || !isProbe) {
+        if (!entry->hasLastRequestFailed || isFailureCounted) {
             this->successRates[entry->registration.service].count(!entry->hasLastRequestFailed,
                                                                   now);
         }
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -19,7 +19,7 @@
     Ended = 3, //!< an attempt ended; the amount is the outcome, the account the rate limit
     Refused = 5, //!< a host refused a request; the item's subject is the service
     Redirected = 4, //!< a host sent a further attempt of a request that no endpoint has received
-    ProbeEnded = 6, //!< like Ended, for an attempt that was a probe
+    UncountedEnded = 6, //!< like Ended, but a failure does not count against the service
     Leaving = 7, //!< an endpoint announced that it leaves; the account is its start stamp
 };
 
@@ -122,10 +122,10 @@
         this->onNotice(attempt, *report.notice);
     }
     const balance::Outcome outcome = this->classifyOutcome(attempt, report);
-    const bool isProbe = attempt.choice.isProbe;
+    const bool isFailureCounted = !attempt.choice.isProbe && !report.isRetried;
     this->dependencies.selector.onEnded(endpointHash, 0, outcome, this->dependencies.clock.now(),
-                                        isProbe);
-    const GossipKind kind = isProbe ? GossipKind::ProbeEnded : GossipKind::Ended;
+                                        isFailureCounted);
+    const GossipKind kind = isFailureCounted ? GossipKind::Ended : GossipKind::UncountedEnded;
     this->dependencies.gossip.publish({ static_cast<std::uint8_t>(kind),
                                         static_cast<std::uint16_t>(outcome), endpointHash,
                                         encodeRateLimit(report.notice), 0 });
@@ -252,7 +252,7 @@
         this->recordLeaving(item.subject, item.account, "gossip");
         return;
     case GossipKind::Ended:
-    case GossipKind::ProbeEnded:
+    case GossipKind::UncountedEnded:
         this->onRemoteEnd(item);
         return;
     }
@@ -264,7 +264,7 @@
         this->dependencies.selector.onEnded(
             item.subject, item.origin, static_cast<balance::Outcome>(item.amount),
             this->dependencies.clock.now(),
-            static_cast<GossipKind>(item.kind) == GossipKind::ProbeEnded);
+            static_cast<GossipKind>(item.kind) == GossipKind::Ended);
     }
     if (item.account == NoRateLimit) {
         this->recordRateLimit(item.subject, std::nullopt, "gossip");
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -171,11 +171,11 @@
      *
      * @param endpointHash hash of the endpoint's name
      * @param host hash of the host's name; zero for this host
-     * @param isProbe see Choice::isProbe; the failure of a probe is not counted in the failure
-     *        rate of the service
+     * @param isFailureCounted whether a failure counts in the failure rate of the service; that of
+     *        a probe or of an attempt whose request is sent to another endpoint does not
      */
     void onEnded(std::uint32_t endpointHash, std::uint32_t host, balance::Outcome outcome,
-                 core::Instant now, bool isProbe = false);
+                 core::Instant now, bool isFailureCounted = true);
 
     /**
      * Records that an endpoint announced in a response that it stops soon. Until it starts again it
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -77,6 +77,20 @@
         return isGranted;
     }
 
+    /** Registers the further endpoints b and c, and makes the first one, a, suspected. */
+    void addSuspectedEndpoint()
+    {
+        std::vector<RegisteredEndpoint> all(3, this->endpoint);
+        all[1].endpoint.name = core::EndpointName("b");
+        all[2].endpoint.name = core::EndpointName("c");
+        this->selector.setEndpoints(all, true, this->clock.now());
+        const std::uint32_t suspected = core::nameHash("a");
+        for (int i = 0; i < 3; ++i) {
+            this->selector.onStarted(suspected, 0, this->clock.now());
+            this->selector.onEnded(suspected, 0, balance::Outcome::BrokenOff, this->clock.now());
+        }
+    }
+
     /** Sends a request whose response announces that the endpoint leaves. */
     void receiveLeavingNotice()
     {
@@ -302,6 +316,38 @@
     }
 }
 
+// The load: reads that fail at a faulty endpoint and succeed at another one are served. They must
+// not make orders test whether further suspected endpoints have recovered.
+TEST_F(FleetBalancer_Tests, Release_RetriedFailures_SuspectedEndpointGetsNoOrders)
+{
+    // [GIVEN] A suspected, a healthy and a faulty endpoint
+    this->addSuspectedEndpoint();
+    const std::vector<core::EndpointName> allButFaulty { core::EndpointName("a"),
+                                                         core::EndpointName("b") };
+    const std::vector<core::EndpointName> allButHealthy { core::EndpointName("a"),
+                                                          core::EndpointName("c") };
+    balance::ExchangeReport failed;
+    failed.outcome = balance::Outcome::BrokenOff;
+    failed.isRetried = true;
+
+    // [WHEN] Each read fails at the faulty endpoint and succeeds at the healthy one, beside orders
+    int ordersToSuspected = 0;
+    for (int i = 0; i < 100; ++i) {
+        this->clock.advance(std::chrono::milliseconds(40));
+        this->request.excluded = allButFaulty;
+        this->balancer.release(this->acquire().id, failed);
+        this->request.excluded = allButHealthy;
+        this->balancer.release(this->acquire().id, {});
+        this->request.excluded.clear();
+        const auto order = this->acquire();
+        ordersToSuspected += order.endpoint.name == core::EndpointName("a") ? 1 : 0;
+        this->balancer.release(order.id, {});
+    }
+
+    // [THEN] No order goes to the suspected endpoint
+    EXPECT_EQ(ordersToSuspected, 0);
+}
+
 TEST_F(FleetBalancer_Tests, OnRefused_EachReason_OnlyALackOfCapacityIsPublished)
 {
     // [GIVEN] Each reason for which a request can be refused
@@ -326,16 +372,8 @@
 // must not make the orders of the other workspaces test whether the endpoint has recovered.
 TEST_F(FleetBalancer_Tests, OnRefused_WorkspaceAboveItsRate_SuspectedEndpointGetsNoOrders)
 {
-    // [GIVEN] A suspected endpoint and a healthy one
-    RegisteredEndpoint healthy = this->endpoint;
-    healthy.endpoint.name = core::EndpointName("b");
-    const std::vector<RegisteredEndpoint> both { this->endpoint, healthy };
-    this->selector.setEndpoints(both, true, this->clock.now());
-    const std::uint32_t suspected = core::nameHash("a");
-    for (int i = 0; i < 3; ++i) {
-        this->selector.onStarted(suspected, 0, this->clock.now());
-        this->selector.onEnded(suspected, 0, balance::Outcome::BrokenOff, this->clock.now());
-    }
+    // [GIVEN] A suspected endpoint beside healthy ones
+    this->addSuspectedEndpoint();
 
     // [WHEN] Half of the requests are refused for the rate of their workspace for 4 s
     int sentToSuspected = 0;
--- a/src/upstreams/tests/grayfleet.cpp
+++ b/src/upstreams/tests/grayfleet.cpp
@@ -151,7 +151,7 @@
                             [endpointHash, outcome, isProbe](EndpointSelector &selector,
                                                              std::uint32_t from,
                                                              core::Instant when) {
-                                selector.onEnded(endpointHash, from, outcome, when, isProbe);
+                                selector.onEnded(endpointHash, from, outcome, when, !isProbe);
                             });
         });
     }
--- a/src/upstreams/tests/selectorfleet.cpp
+++ b/src/upstreams/tests/selectorfleet.cpp
@@ -79,7 +79,7 @@
     this->broadcast(
         host,
         [this, endpointHash, outcome, isProbe](EndpointSelector &selector, std::uint32_t from) {
-            selector.onEnded(endpointHash, from, outcome, this->now, isProbe);
+            selector.onEnded(endpointHash, from, outcome, this->now, !isProbe);
         });
 }
 
