--- a/src/fleet/fleet.capnp
+++ b/src/fleet/fleet.capnp
@@ -9,6 +9,7 @@
   subject @2 :UInt32;
   account @3 :UInt32;
   origin @4 :UInt32;
+  isUrgent @5 :Bool;
 }
 
 struct Vouch {
--- a/src/fleet/fleet.capnp.h
+++ b/src/fleet/fleet.capnp.h
@@ -101,6 +101,8 @@
 
   inline  ::uint32_t getOrigin() const;
 
+  inline bool getIsUrgent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -144,6 +146,9 @@
   inline  ::uint32_t getOrigin();
   inline void setOrigin( ::uint32_t value);
 
+  inline bool getIsUrgent();
+  inline void setIsUrgent(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -485,6 +490,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Note::Reader::getIsUrgent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool Note::Builder::getIsUrgent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Note::Builder::setIsUrgent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Vouch::Reader::getAddress() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -21,12 +21,13 @@
     builder.setSubject(item.subject);
     builder.setAccount(item.account);
     builder.setOrigin(item.origin);
+    builder.setIsUrgent(item.isUrgent);
 }
 
 GossipItem read(wire::Note::Reader reader)
 {
-    return GossipItem { reader.getKind(), reader.getAmount(), reader.getSubject(),
-                        reader.getAccount(), reader.getOrigin() };
+    return GossipItem { reader.getKind(),    reader.getAmount(), reader.getSubject(),
+                        reader.getAccount(), reader.getOrigin(), reader.getIsUrgent() };
 }
 
 // The name of a host is its IPv4 address.
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -7,6 +7,7 @@
 #include "damaskgate/core/hash.h"
 
 #include "fleetcodec.h"
+#include "gossipflushschedule.h"
 #include "gossipqueues.h"
 
 namespace damaskgate::fleet {
@@ -15,9 +16,6 @@
 
 constexpr std::chrono::milliseconds TickInterval { 250 };
 
-// Gossip items published or received within this time are sent in one datagram.
-constexpr std::chrono::milliseconds FlushDelay { 30 };
-
 // A message with this many items and a few host names fits a datagram.
 constexpr std::size_t MaxItemsPerMessage = 48;
 
@@ -45,7 +43,8 @@
     : clock(dependencies.clock), events(dependencies.events), network(dependencies.network),
       fleet(std::move(table)), seeds(std::move(seeds)),
       selfHash(core::nameHash(this->fleet.self().text())), tickTimer(dependencies.context),
-      flushTimer(dependencies.context), gossipQueues(std::make_unique<GossipQueues>())
+      flushTimer(dependencies.context), gossipQueues(std::make_unique<GossipQueues>()),
+      flushSchedule(std::make_unique<GossipFlushSchedule>())
 {
     this->network.setHandler(peer::MessageKind::Fleet, [this](const peer::Datagram &datagram) {
         this->onDatagram(datagram);
@@ -102,7 +101,7 @@
 {
     item.origin = this->selfHash;
     this->gossipQueues->addLocal(item);
-    this->scheduleFlush();
+    this->scheduleFlush(item.isUrgent);
 }
 
 void FleetService::addListener(Listener listener)
@@ -167,7 +166,7 @@
         }
     }
     if (this->gossipQueues->addReceived(heartbeat.gossipItems, heartbeat.scope)) {
-        this->scheduleFlush();
+        this->scheduleFlush(std::ranges::any_of(heartbeat.gossipItems, &GossipItem::isUrgent));
     }
 }
 
@@ -190,8 +189,8 @@
 
 void FleetService::flushGossip()
 {
-    this->isFlushScheduled = false;
     const core::Instant now = this->clock.now();
+    this->flushSchedule->onFlushed(now);
     const core::HostName hub = this->fleet.hub(now);
     GossipTargets targets { hub, hub == this->fleet.self(), {}, {} };
     if (this->gossipQueues->needsAllTargets(targets.isHub)) {
@@ -229,13 +228,14 @@
     });
 }
 
-void FleetService::scheduleFlush()
+void FleetService::scheduleFlush(bool isUrgent)
 {
-    if (this->isFlushScheduled) {
+    const core::Instant now = this->clock.now();
+    const auto due = this->flushSchedule->onQueued(isUrgent, now);
+    if (!due) {
         return;
     }
-    this->isFlushScheduled = true;
-    this->flushTimer.expires_after(FlushDelay);
+    this->flushTimer.expires_after(*due - now);
     this->flushTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             this->flushGossip();
--- a/src/fleet/include/damaskgate/fleet/fleetservice.h
+++ b/src/fleet/include/damaskgate/fleet/fleetservice.h
@@ -17,6 +17,7 @@
 
 namespace damaskgate::fleet {
 
+class GossipFlushSchedule;
 class GossipQueues;
 
 /**
@@ -90,7 +91,7 @@
     void sendGossip(std::span<const GossipItem> gossipItems, std::span<const core::HostName> hosts,
                     GossipScope scope);
     void scheduleTick();
-    void scheduleFlush();
+    void scheduleFlush(bool isUrgent);
     void tick();
     void sendIndirectHeartbeats(core::Instant now);
     void requestHostLists();
@@ -112,9 +113,9 @@
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer flushTimer;
     std::unique_ptr<GossipQueues> gossipQueues;
+    std::unique_ptr<GossipFlushSchedule> flushSchedule;
     std::size_t liveCount = 0;
     int ticks = 0;
-    bool isFlushScheduled = false;
 };
 
 } // namespace damaskgate::fleet
--- a/src/fleet/include/damaskgate/fleet/fleettypes.h
+++ b/src/fleet/include/damaskgate/fleet/fleettypes.h
@@ -22,6 +22,7 @@
     std::uint32_t subject = 0; //!< hash of the name of the item's subject
     std::uint32_t account = 0; //!< hash of a second name; 0 when there is none
     std::uint32_t origin = 0; //!< hash of the name of the host that published the item
+    bool isUrgent = false; //!< not held back to share a message with later items
 
     bool operator==(const GossipItem &) const = default;
 };
--- a/src/fleet/tests/fleetcodec_test.cpp
+++ b/src/fleet/tests/fleetcodec_test.cpp
@@ -13,7 +13,7 @@
     heartbeat.isHostListRequested = true;
     heartbeat.scope = GossipScope::Domain;
     heartbeat.knownHosts = { core::HostName("10.1.0.1") };
-    heartbeat.gossipItems = { { 2, 3, 4, 5, 6 } };
+    heartbeat.gossipItems = { { 2, 3, 4, 5, 6, true } };
     heartbeat.indirectHeartbeats = { { core::HostName("10.1.0.2"), std::chrono::milliseconds(9),
                                        true, true, 10 } };
 
--- a/src/fleet/tests/fleetservice_test.cpp
+++ b/src/fleet/tests/fleetservice_test.cpp
@@ -102,4 +102,28 @@
     EXPECT_EQ(reported.size(), static_cast<std::size_t>(LocalHosts));
 }
 
+TEST(FleetService_Tests, Publish_UrgentItem_TakesTheQueuedItemsWithIt)
+{
+    // [GIVEN] A host with one neighbour, and a usual gossip item
+    boost::asio::io_context context;
+    FixedClock clock;
+    IgnoringSink events;
+    RecordingNetwork network;
+    FleetService service({ context, clock, events, network },
+                         FleetTable(localHost(0), core::DomainName("north"), {}, 1), {});
+    service.setStateSource([] { return heartbeatFrom("north").state; });
+    network.receive(localHost(1), heartbeatFrom("north"));
+    service.publish({ 1, 0, 1, 0, 0 });
+
+    // [WHEN] An urgent item follows
+    service.publish({ 1, 0, 2, 0, 0, true });
+    context.run();
+
+    // [THEN] Both are sent in one message
+    ASSERT_EQ(network.sent.size(), 1U);
+    const auto heartbeat = decode(network.sent.front().second);
+    ASSERT_TRUE(heartbeat);
+    EXPECT_EQ(heartbeat->gossipItems.size(), 2U);
+}
+
 } // namespace damaskgate::fleet
--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -52,13 +52,6 @@
 // A shed request is weaker evidence of a fault than a failed one.
 constexpr double ShedEvidenceWeight = 0.3;
 
-bool isFailure(balance::Outcome outcome)
-{
-    using balance::Outcome;
-    return outcome == Outcome::ServerError || outcome == Outcome::ConnectFailed
-        || outcome == Outcome::Timeout || outcome == Outcome::BrokenOff;
-}
-
 // Returns whether the endpoint issued registration before held.
 bool isOlder(const RegisteredEndpoint &registration, const RegisteredEndpoint &held)
 {
@@ -88,6 +81,13 @@
     return Texts[static_cast<std::size_t>(kind)];
 }
 
+bool isFailure(balance::Outcome outcome)
+{
+    using balance::Outcome;
+    return outcome == Outcome::ServerError || outcome == Outcome::ConnectFailed
+        || outcome == Outcome::Timeout || outcome == Outcome::BrokenOff;
+}
+
 EndpointSelector::EndpointSelector(SelectionPolicy policy, core::DomainName domain,
                                    std::uint64_t seed)
     : policy(policy), domain(std::move(domain)), random(seed)
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -125,10 +125,12 @@
     const bool isFailureCounted = !attempt.choice.isProbe && !report.isRetried;
     this->dependencies.selector.onEnded(endpointHash, 0, outcome, this->dependencies.clock.now(),
                                         isFailureCounted);
+    // Until the other hosts know of the fault, they send requests to the endpoint.
+    const bool isFirstSign = isFailure(outcome) && !attempt.choice.isProbe;
     const GossipKind kind = isFailureCounted ? GossipKind::Ended : GossipKind::UncountedEnded;
     this->dependencies.gossip.publish({ static_cast<std::uint8_t>(kind),
                                         static_cast<std::uint16_t>(outcome), endpointHash,
-                                        encodeRateLimit(report.notice), 0 });
+                                        encodeRateLimit(report.notice), 0, isFirstSign });
 }
 
 void FleetBalancer::onNotice(const ActiveAttempt &attempt, const balance::EndpointNotice &notice)
@@ -136,7 +138,7 @@
     const Choice &choice = attempt.choice;
     if (notice.isLeaving && this->recordLeaving(choice.nameHash, choice.startStamp, "response")) {
         this->dependencies.gossip.publish({ static_cast<std::uint8_t>(GossipKind::Leaving), 0,
-                                            choice.nameHash, choice.startStamp, 0 });
+                                            choice.nameHash, choice.startStamp, 0, true });
     }
     if (notice.pause) {
         this->dependencies.selector.onPause(choice.nameHash, choice.startStamp, *notice.pause,
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -56,6 +56,9 @@
 /** @return the name of @p kind in logs, such as `restarted`. */
 std::string_view toText(EndpointChange::Kind kind);
 
+/** @return whether @p outcome is that of a request that an endpoint failed or did not get. */
+bool isFailure(balance::Outcome outcome);
+
 /** Limits on the work of the endpoints of a service. */
 struct ServiceLimits
 {
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -137,6 +137,22 @@
     EXPECT_NE(this->events.lines.front().find("trace=t-1"), std::string::npos);
 }
 
+// Guards against requests that other hosts send to an endpoint that has just begun to fail.
+TEST_F(FleetBalancer_Tests, Release_FirstFailure_IsPublishedWithoutDelay)
+{
+    // [WHEN] A request fails at an endpoint that nobody suspects, and one succeeds
+    balance::ExchangeReport failed;
+    failed.outcome = balance::Outcome::BrokenOff;
+    this->balancer.release(this->acquire().id, {});
+    this->balancer.release(this->acquire().id, failed);
+
+    // [THEN] Only the news of the failure is urgent
+    ASSERT_EQ(this->gossip.published.size(), 4U);
+    EXPECT_FALSE(this->gossip.published[1].isUrgent);
+    EXPECT_FALSE(this->gossip.published[2].isUrgent);
+    EXPECT_TRUE(this->gossip.published[3].isUrgent);
+}
+
 TEST_F(FleetBalancer_Tests, OnGossipItem_RetryOfAnotherHost_IsConsumedFromTheBudget)
 {
     // [GIVEN] A budget of one retry
