upstreams, fleet: tell a host that has just started what the others know of the endpoints

A restarted host knew the endpoints but no outcome, so it sent orders to endpoints that all others avoided, until these tested them again some seconds later; the limit that an endpoint had announced and its announcement that it leaves were unknown to it too.

Change: the reply to the host list request of a host in its first second carries the fault probability of each suspected endpoint, the announced limits and the endpoints that leave, as gossip items. A belief is taken over only where no outcome is known.

--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -104,6 +104,11 @@
     this->scheduleFlush(item.isUrgent);
 }
 
+void FleetService::setSnapshotSource(SnapshotSource source)
+{
+    this->snapshotSource = std::move(source);
+}
+
 void FleetService::addListener(Listener listener)
 {
     this->gossipListeners.push_back(std::move(listener));
@@ -153,6 +158,9 @@
                           [&member](const auto &listen) { listen(member); });
     if (heartbeat.isHostListRequested) {
         this->sendHostList(datagram.from);
+        if (this->snapshotSource && this->fleet.hasJustStarted(datagram.from, now)) {
+            this->sendSnapshot(datagram.from);
+        }
     }
     this->handleGossip(heartbeat);
 }
@@ -177,6 +185,13 @@
     this->sendTo({ &to, 1 }, heartbeat);
 }
 
+void FleetService::sendSnapshot(const core::HostName &to)
+{
+    std::vector<GossipItem> gossipItems = this->snapshotSource();
+    std::ranges::for_each(gossipItems, [this](GossipItem &item) { item.origin = this->selfHash; });
+    this->sendGossip(gossipItems, { &to, 1 }, GossipScope::Receiver);
+}
+
 void FleetService::sendTo(std::span<const core::HostName> hosts, const Heartbeat &heartbeat)
 {
     if (hosts.empty()) {
--- a/src/fleet/fleettable.cpp
+++ b/src/fleet/fleettable.cpp
@@ -28,6 +28,9 @@
     const bool isChanged = !this->isEntryLive(entry, now) || entry.member.incarnation != incarnation
         || entry.member.state.isLeaving != state.isLeaving
         || entry.member.state.isServing != state.isServing;
+    if (!entry.firstMessageAt || entry.member.incarnation != incarnation) {
+        entry.firstMessageAt = now;
+    }
     entry.hasBeenSeen = true;
     entry.hubRequestedAt.reset();
     entry.member = Member { from, incarnation, state, now };
@@ -168,6 +171,13 @@
     return found != this->entries.end() && this->isEntryLive(found->second, now);
 }
 
+bool FleetTable::hasJustStarted(const core::HostName &name, core::Instant now) const
+{
+    const auto found = this->entries.find(name);
+    return found != this->entries.end() && found->second.firstMessageAt
+        && now - *found->second.firstMessageAt <= this->timing.startTime;
+}
+
 std::vector<const Member *> FleetTable::liveMembers(core::Instant now) const
 {
     std::vector<const Member *> live;
--- a/src/fleet/include/damaskgate/fleet/fleetservice.h
+++ b/src/fleet/include/damaskgate/fleet/fleetservice.h
@@ -77,6 +77,7 @@
     void announceLocally();
 
     void publish(GossipItem item) override;
+    void setSnapshotSource(SnapshotSource source) override;
     void addListener(Listener listener) override;
 
     const FleetTable &table() const;
@@ -86,6 +87,7 @@
     void onHeartbeat(const peer::Datagram &datagram, const Heartbeat &heartbeat);
     void handleGossip(const Heartbeat &heartbeat);
     void sendHostList(const core::HostName &to);
+    void sendSnapshot(const core::HostName &to);
     void sendTo(std::span<const core::HostName> hosts, const Heartbeat &heartbeat);
     void flushGossip();
     void sendGossip(std::span<const GossipItem> gossipItems, std::span<const core::HostName> hosts,
@@ -110,6 +112,7 @@
     std::vector<ChangeListener> changeListeners;
     std::vector<std::function<void(const Member &)>> contactListeners;
     std::vector<Listener> gossipListeners;
+    SnapshotSource snapshotSource;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer flushTimer;
     std::unique_ptr<GossipQueues> gossipQueues;
--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -27,6 +27,8 @@
     core::Duration hubReplyTimeout = std::chrono::milliseconds(500);
     /** Time for which a replaced hub is not selected again. */
     core::Duration hubReplacementTime = std::chrono::seconds(2);
+    /** Time for which a process counts as just started after its first message. */
+    core::Duration startTime = std::chrono::milliseconds(1000);
     /** Time since the last contact after which a host is removed from the table. */
     core::Duration expiryTimeout = std::chrono::seconds(120);
 };
@@ -97,6 +99,12 @@
     /** @return whether the last contact with @p name is within FleetTiming::lostTimeout. */
     bool isLive(const core::HostName &name, core::Instant now) const;
 
+    /**
+     * @return whether the process of @p name has sent its first message within
+     *         FleetTiming::startTime
+     */
+    bool hasJustStarted(const core::HostName &name, core::Instant now) const;
+
     /** @return the live hosts, without this one. */
     std::vector<const Member *> liveMembers(core::Instant now) const;
 
@@ -146,6 +154,7 @@
     struct Entry
     {
         Member member;
+        std::optional<core::Instant> firstMessageAt; //!< first message of this incarnation
         bool hasBeenSeen = false; //!< a direct or indirect heartbeat of the host was received
         std::optional<core::Instant> sentAt;
         /** When gossip items were first sent to this hub since its last message. */
--- a/src/fleet/tests/fleetservice_test.cpp
+++ b/src/fleet/tests/fleetservice_test.cpp
@@ -102,6 +102,37 @@
     EXPECT_EQ(reported.size(), static_cast<std::size_t>(LocalHosts));
 }
 
+TEST(FleetService_Tests, OnHeartbeat_HostListRequestAfterAStart_IsAnsweredWithTheSnapshot)
+{
+    // [GIVEN] A host with a snapshot of one item
+    boost::asio::io_context context;
+    core::ManualClock clock;
+    IgnoringSink events;
+    RecordingNetwork network;
+    FleetService service({ context, clock, events, network },
+                         FleetTable(localHost(0), core::DomainName("north"), {}, 1), {});
+    service.setStateSource([] { return heartbeatFrom("north").state; });
+    service.setSnapshotSource([] { return std::vector<GossipItem> { { 8, 1, 2, 3, 0 } }; });
+    const auto itemsAfterRequest = [&network] {
+        network.sent.clear();
+        Heartbeat request = heartbeatFrom("north");
+        request.isHostListRequested = true;
+        network.receive(localHost(1), request);
+        std::size_t items = 0;
+        for (const auto &[to, payload] : network.sent) {
+            items += decode(payload)->gossipItems.size();
+        }
+        return items;
+    };
+
+    // [THEN] A host that has just started gets it, and not with its later requests
+    EXPECT_EQ(itemsAfterRequest(), 1U);
+    clock.advance(std::chrono::milliseconds(500));
+    EXPECT_EQ(itemsAfterRequest(), 1U);
+    clock.advance(std::chrono::seconds(5));
+    EXPECT_EQ(itemsAfterRequest(), 0U);
+}
+
 TEST(FleetService_Tests, Publish_UrgentItem_TakesTheQueuedItemsWithIt)
 {
     // [GIVEN] A host with one neighbour, and a usual gossip item
--- a/src/upstreams/endpointratelimit.cpp
+++ b/src/upstreams/endpointratelimit.cpp
@@ -33,6 +33,11 @@
     this->setRank(0, 1, now);
 }
 
+double EndpointRateLimit::rate() const
+{
+    return this->announcedRate;
+}
+
 void EndpointRateLimit::setRate(double requestsPerSecond, core::Instant now)
 {
     if (requestsPerSecond == this->announcedRate) {
--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -411,6 +411,37 @@
     }
 }
 
+std::vector<EndpointBelief> EndpointSelector::beliefs(core::Instant now) const
+{
+    std::vector<EndpointBelief> beliefs;
+    for (const auto &[name, entry] : this->entries) {
+        const double faultProbability = entry.faultEstimator.faultProbability(now);
+        const bool isSuspected =
+            entry.faultEstimator.hasEvidence() && faultProbability > this->policy.suspectThreshold;
+        if (!isSuspected && !entry.rateLimit && !entry.hasAnnouncedLeaving) {
+            continue;
+        }
+        EndpointBelief belief { entry.nameHash, startStampOf(entry.registration), faultProbability,
+                                std::nullopt, entry.hasAnnouncedLeaving };
+        if (entry.rateLimit) {
+            belief.requestsPerSecond = entry.rateLimit->rate();
+        }
+        beliefs.push_back(belief);
+    }
+    return beliefs;
+}
+
+void EndpointSelector::onBelief(std::uint32_t endpointHash, double faultProbability,
+                                core::Instant now)
+{
+    Entry *entry = this->findByHash(endpointHash);
+    if (entry == nullptr || entry->faultEstimator.hasEvidence()) {
+        return;
+    }
+    entry->faultEstimator.adopt(faultProbability, now);
+    entry->hasLastRequestFailed = faultProbability > this->policy.suspectThreshold;
+}
+
 std::optional<core::EndpointName> EndpointSelector::nameOf(std::uint32_t endpointHash) const
 {
     const Entry *entry = this->findByHash(endpointHash);
--- a/src/upstreams/faultestimator.cpp
+++ b/src/upstreams/faultestimator.cpp
@@ -36,6 +36,19 @@
         prior / (1 - prior) * std::pow(likelihoodWhenFaulty / likelihoodWhenHealthy, weight);
     this->probability = std::clamp(odds / (1 + odds), MinFaultProbability, MaxFaultProbability);
     this->updatedAt = now;
+    this->isBasedOnEvidence = true;
+}
+
+void FaultEstimator::adopt(double faultProbability, core::Instant now)
+{
+    this->probability = std::clamp(faultProbability, MinFaultProbability, MaxFaultProbability);
+    this->updatedAt = now;
+    this->isBasedOnEvidence = true;
+}
+
+bool FaultEstimator::hasEvidence() const
+{
+    return this->isBasedOnEvidence;
 }
 
 double FaultEstimator::faultProbability(core::Instant now) const
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -20,6 +20,7 @@
     Refused = 5, //!< a host refused a request; the item's subject is the service
     Redirected = 4, //!< a host sent a further attempt of a request that no endpoint has received
     UncountedEnded = 6, //!< like Ended, but a failure does not count against the service
+    Known = 8, //!< the amount is a fault probability, the account the rate limit
     Leaving = 7, //!< an endpoint announced that it leaves; the account is its start stamp
 };
 
@@ -37,18 +38,23 @@
 constexpr double RateUnit = 0.001;
 constexpr double MaxRateUnits = 4e9;
 
-std::uint32_t encodeRateLimit(const std::optional<balance::EndpointNotice> &notice)
+// Fault probabilities in gossip items are sent in units of 1 / ProbabilityUnits.
+constexpr double ProbabilityUnits = 65535;
+
+std::uint32_t encodeRateLimit(std::optional<double> requestsPerSecond)
 {
-    if (!notice) {
-        return UnknownRateLimit;
-    }
-    if (!notice->requestsPerSecond) {
+    if (!requestsPerSecond) {
         return NoRateLimit;
     }
-    const double units = std::min(*notice->requestsPerSecond / RateUnit, MaxRateUnits);
+    const double units = std::min(*requestsPerSecond / RateUnit, MaxRateUnits);
     return FirstRateLimit + static_cast<std::uint32_t>(units);
 }
 
+std::uint32_t encodeRateLimit(const std::optional<balance::EndpointNotice> &notice)
+{
+    return notice ? encodeRateLimit(notice->requestsPerSecond) : UnknownRateLimit;
+}
+
 // Returns whether a request that no endpoint received was refused since the endpoints of its
 // service could not serve it. Other reasons, such as the rate limit of a workspace, say nothing
 // about them.
@@ -69,6 +75,7 @@
 {
     this->dependencies.gossip.addListener(
         [this](const fleet::GossipItem &item) { this->onGossipItem(item); });
+    this->dependencies.gossip.setSnapshotSource([this] { return this->snapshot(); });
 }
 
 std::uint64_t FleetBalancer::acquire(const balance::WorkRequest &request, Done done)
@@ -234,6 +241,24 @@
                                          { "retrial", attempt.choice.isProbe } } });
 }
 
+std::vector<fleet::GossipItem> FleetBalancer::snapshot() const
+{
+    std::vector<fleet::GossipItem> items;
+    for (const EndpointBelief &belief :
+         this->dependencies.selector.beliefs(this->dependencies.clock.now())) {
+        const std::uint32_t rateLimit =
+            belief.requestsPerSecond ? encodeRateLimit(belief.requestsPerSecond) : UnknownRateLimit;
+        items.push_back({ static_cast<std::uint8_t>(GossipKind::Known),
+                          static_cast<std::uint16_t>(belief.faultProbability * ProbabilityUnits),
+                          belief.nameHash, rateLimit, 0 });
+        if (belief.isLeaving) {
+            items.push_back({ static_cast<std::uint8_t>(GossipKind::Leaving), 0, belief.nameHash,
+                              belief.startStamp, 0 });
+        }
+    }
+    return items;
+}
+
 void FleetBalancer::onGossipItem(const fleet::GossipItem &item)
 {
     switch (static_cast<GossipKind>(item.kind)) {
@@ -250,6 +275,11 @@
         this->dependencies.selector.onStarted(item.subject, item.origin,
                                               this->dependencies.clock.now());
         return;
+    case GossipKind::Known:
+        this->dependencies.selector.onBelief(item.subject, item.amount / ProbabilityUnits,
+                                             this->dependencies.clock.now());
+        this->applyRateLimit(item);
+        return;
     case GossipKind::Leaving:
         this->recordLeaving(item.subject, item.account, "gossip");
         return;
@@ -268,6 +298,11 @@
             this->dependencies.clock.now(),
             static_cast<GossipKind>(item.kind) == GossipKind::Ended);
     }
+    this->applyRateLimit(item);
+}
+
+void FleetBalancer::applyRateLimit(const fleet::GossipItem &item)
+{
     if (item.account == NoRateLimit) {
         this->recordRateLimit(item.subject, std::nullopt, "gossip");
     } else if (item.account >= FirstRateLimit) {
--- a/src/upstreams/include/damaskgate/upstreams/endpointratelimit.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointratelimit.h
@@ -21,6 +21,9 @@
 public:
     EndpointRateLimit(double requestsPerSecond, core::Instant now);
 
+    /** @return the announced limit in requests per second of all hosts together. */
+    double rate() const;
+
     /** Changes the rate; requests that were sent before still count. */
     void setRate(double requestsPerSecond, core::Instant now);
 
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -59,6 +59,16 @@
 /** @return whether @p outcome is that of a request that an endpoint failed or did not get. */
 bool isFailure(balance::Outcome outcome);
 
+/** What a host knows of an endpoint beyond its registration, for a host that has just started. */
+struct EndpointBelief
+{
+    std::uint32_t nameHash = 0; //!< identifies the endpoint in gossip items
+    std::uint32_t startStamp = 0; //!< identifies the start of the endpoint in gossip items
+    double faultProbability = 0;
+    std::optional<double> requestsPerSecond; //!< announced limit of the requests of all hosts
+    bool isLeaving = false; //!< the endpoint has announced that it stops soon
+};
+
 /** Limits on the work of the endpoints of a service. */
 struct ServiceLimits
 {
@@ -209,6 +219,15 @@
     bool onRateLimit(std::uint32_t endpointHash, std::optional<double> requestsPerSecond,
                      core::Instant now);
 
+    /** @return what is known of the endpoints that are suspected, limited or leaving. */
+    std::vector<EndpointBelief> beliefs(core::Instant now) const;
+
+    /**
+     * Records the fault probability that another host estimates for an endpoint, unless an outcome
+     * is known.
+     */
+    void onBelief(std::uint32_t endpointHash, double faultProbability, core::Instant now);
+
     /** @return the name of the endpoint with the name hash @p endpointHash, if known. */
     std::optional<core::EndpointName> nameOf(std::uint32_t endpointHash) const;
 
--- a/src/upstreams/include/damaskgate/upstreams/faultestimator.h
+++ b/src/upstreams/include/damaskgate/upstreams/faultestimator.h
@@ -33,6 +33,12 @@
      */
     void onOutcome(bool isFailure, double weight, core::Instant now);
 
+    /** Replaces the estimate by @p faultProbability, as another host has estimated it at @p now. */
+    void adopt(double faultProbability, core::Instant now);
+
+    /** @return whether the estimate is based on an outcome or on that of another host. */
+    bool hasEvidence() const;
+
     /** @return the probability that the endpoint is faulty at @p now. */
     double faultProbability(core::Instant now) const;
 
@@ -46,6 +52,7 @@
     FaultModel model;
     double probability; //!< fault probability at updatedAt
     core::Instant updatedAt;
+    bool isBasedOnEvidence = false;
 };
 
 } // namespace damaskgate::upstreams
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -47,6 +47,9 @@
      */
     void onRefused(const core::ServiceName &service, core::Reason reason);
 
+    /** @return the gossip items that tell a host that has just started what this host knows. */
+    std::vector<fleet::GossipItem> snapshot() const;
+
 private:
     struct ActiveAttempt
     {
@@ -65,6 +68,7 @@
     void recordRateLimit(std::uint32_t endpointHash, std::optional<double> requestsPerSecond,
                          std::string_view origin);
     void onRemoteEnd(const fleet::GossipItem &item);
+    void applyRateLimit(const fleet::GossipItem &item);
     void onRemoteRefusal(std::uint32_t serviceHash);
     void onRemoteStart(const fleet::GossipItem &item, bool isRetry);
 
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -1,5 +1,7 @@
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -20,6 +22,11 @@
         this->published.push_back(item);
     }
 
+    void setSnapshotSource(SnapshotSource source) override
+    {
+        this->snapshotSource = std::move(source);
+    }
+
     void addListener(Listener listener) override
     {
         this->listener = std::move(listener);
@@ -27,6 +34,7 @@
 
     std::vector<fleet::GossipItem> published;
     Listener listener;
+    SnapshotSource snapshotSource;
 };
 
 class RecordingSink final : public core::IEventSink
@@ -364,6 +372,56 @@
     EXPECT_EQ(ordersToSuspected, 0);
 }
 
+// The load: hosts are restarted in turn while some endpoints fail. A host that has missed the
+// outcomes of the others must not send orders to the endpoints that they avoid.
+TEST_F(FleetBalancer_Tests, Snapshot_HostThatHasJustStarted_AvoidsWhatTheOthersSuspect)
+{
+    // [GIVEN] A suspected endpoint, a limited one and a leaving one
+    this->addSuspectedEndpoint();
+    this->selector.onRateLimit(core::nameHash("b"), 0.5, this->clock.now());
+    this->selector.onLeaving(core::nameHash("c"), 1000, this->clock.now());
+
+    // [WHEN] Another host starts and gets the snapshot
+    std::vector<RegisteredEndpoint> all(4, this->endpoint);
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        all[i].endpoint.name = core::EndpointName(std::string(1, static_cast<char>('a' + i)));
+    }
+    FakeGossipChannel otherGossip;
+    EndpointSelector otherSelector { SelectionPolicy {}, core::DomainName(), 2 };
+    otherSelector.setEndpoints(all, true, this->clock.now());
+    const FleetBalancer other { { this->clock, this->events, otherGossip, otherSelector,
+                                  this->admission, this->retries } };
+    for (const fleet::GossipItem &item : this->gossip.snapshotSource()) {
+        otherGossip.listener(item);
+    }
+
+    // [THEN] It sends its orders to the endpoint of which nothing is known, and few to the limited
+    std::map<std::string, int> sent;
+    for (int i = 0; i < 50; ++i) {
+        this->clock.advance(std::chrono::milliseconds(20));
+        const auto choice = otherSelector.choose(this->request, this->clock.now());
+        ASSERT_TRUE(choice);
+        ++sent[choice->grant.endpoint.name.text()];
+    }
+    EXPECT_EQ(sent["a"], 0);
+    EXPECT_LE(sent["b"], 1);
+    EXPECT_EQ(sent["c"], 0);
+}
+
+TEST_F(FleetBalancer_Tests, OnGossipItem_SnapshotAfterAnOutcome_ChangesNothing)
+{
+    // [GIVEN] An endpoint at which this host has seen a success
+    this->balancer.release(this->acquire().id, {});
+    const core::EndpointName name("a");
+    const double before = *this->selector.faultProbabilityOf(name, this->clock.now());
+
+    // [WHEN] The belief of another host arrives late
+    this->selector.onBelief(core::nameHash("a"), 0.9, this->clock.now());
+
+    // [THEN] The own evidence counts
+    EXPECT_DOUBLE_EQ(*this->selector.faultProbabilityOf(name, this->clock.now()), before);
+}
+
 TEST_F(FleetBalancer_Tests, OnRefused_EachReason_OnlyALackOfCapacityIsPublished)
 {
     // [GIVEN] Each reason for which a request can be refused
