upstreams: a success is evidence of the time when its request was sent

An endpoint that begins to reset connections does so within some ms, and still answers the requests that it got before, some hundreds of ms later.

Change: a success of a request that was sent before a request that failed says nothing of the present state and does not change the estimate.

Tests: EndpointSelector_Tests.OnEnded_SuccessOfEarlierRequests* failed before.

--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -335,7 +335,9 @@
         return;
     }
     const auto request = std::ranges::find(entry->inFlight, host, &InFlightRequest::host);
+    std::optional<core::Instant> startedAt;
     if (request != entry->inFlight.end()) {
+        startedAt = request->startedAt;
         entry->inFlight.erase(request);
     }
     switch (outcome) {
@@ -349,17 +351,33 @@
         entry->faultEstimator.onOutcome(true, ShedEvidenceWeight, now);
         return;
     default:
-        entry->hasLastRequestFailed = isFailure(outcome);
+        const bool hasFailed = isFailure(outcome);
         // Failed probes do not count in the failure rate, or they would cause more probes. A
         // request that was in flight when its endpoint became suspected is not a probe.
-        if (!entry->hasLastRequestFailed || isFailureCounted) {
-            this->successRates[entry->registration.service].count(!entry->hasLastRequestFailed,
-                                                                  now);
+        if (!hasFailed || isFailureCounted) {
+            this->successRates[entry->registration.service].count(!hasFailed, now);
         }
-        entry->faultEstimator.onOutcome(entry->hasLastRequestFailed, 1, now);
+        this->updateFaultEstimate(*entry, hasFailed, startedAt, now);
     }
 }
 
+// Failures often come much faster than successes. An endpoint that has begun to fail still
+// completes requests that it got before, which says nothing of those that it gets now.
+void EndpointSelector::updateFaultEstimate(Entry &entry, bool isFailure,
+                                           std::optional<core::Instant> startedAt,
+                                           core::Instant now) const
+{
+    const core::Instant from = startedAt.value_or(now);
+    if (!isFailure && from < entry.lastFailureStartedAt) {
+        return;
+    }
+    if (isFailure) {
+        entry.lastFailureStartedAt = std::max(entry.lastFailureStartedAt, from);
+    }
+    entry.hasLastRequestFailed = isFailure;
+    entry.faultEstimator.onOutcome(isFailure, 1, now);
+}
+
 std::optional<EndpointChange>
 EndpointSelector::onLeaving(std::uint32_t endpointHash, std::uint32_t startStamp, core::Instant now)
 {
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -282,6 +282,7 @@
         std::optional<core::Instant> lastProbeAt;
         core::Instant lastUsedAt; //!< time of the last request, or of the registration
         bool hasLastRequestFailed = false;
+        core::Instant lastFailureStartedAt {}; //!< start of the latest request that failed
         bool isUnused = true; //!< no host is known to have sent it a request
         bool isMisdirected = false; //!< another endpoint uses its address
         bool hasAnnouncedLeaving = false; //!< see onLeaving()
@@ -320,6 +321,8 @@
     bool isProbeDue(const Entry &entry, core::Instant now) const;
     double selectionCost(Entry &entry, std::optional<double> latencyRatio, core::Instant now);
     std::optional<double> typicalLatencyRatio(const balance::WorkRequest &request) const;
+    void updateFaultEstimate(Entry &entry, bool isFailure, std::optional<core::Instant> startedAt,
+                             core::Instant now) const;
     void expireLostRequests(Entry &entry, core::Instant now) const;
     Entry *findByHash(std::uint32_t endpointHash) const;
 
--- a/src/upstreams/tests/endpointselector_test.cpp
+++ b/src/upstreams/tests/endpointselector_test.cpp
@@ -342,4 +342,36 @@
     EXPECT_EQ(this->chooseMany(50)["a"], 50);
 }
 
+// The load: an endpoint begins to reset connections while it still serves earlier requests.
+TEST_F(EndpointSelector_Tests, OnEnded_SuccessOfEarlierRequestsAfterAFailure_StaysSuspected)
+{
+    // [GIVEN] An endpoint with four requests in flight, of several hosts
+    this->list({ endpoint("a") });
+    const std::uint32_t name = core::nameHash("a");
+    for (const std::uint32_t host : { 1U, 2U, 3U, 4U }) {
+        this->selector.onStarted(name, host, this->now);
+    }
+
+    // [WHEN] A later request fails at once, and then the earlier ones succeed
+    this->now += milliseconds(100);
+    this->selector.onStarted(name, 5, this->now);
+    this->selector.onEnded(name, 5, balance::Outcome::BrokenOff, this->now);
+    const double suspected = *this->selector.faultProbabilityOf(core::EndpointName("a"), this->now);
+    for (const std::uint32_t host : { 1U, 2U, 3U, 4U }) {
+        this->selector.onEnded(name, host, balance::Outcome::Answered, this->now);
+    }
+
+    // [THEN] They say nothing of its present state
+    EXPECT_EQ(*this->selector.faultProbabilityOf(core::EndpointName("a"), this->now), suspected);
+
+    // [WHEN] A request succeeds that was sent after the failure
+    this->now += milliseconds(10);
+    this->selector.onStarted(name, 1, this->now);
+    this->selector.onEnded(name, 1, balance::Outcome::Answered, this->now);
+
+    // [THEN] It counts
+    EXPECT_LT(*this->selector.faultProbabilityOf(core::EndpointName("a"), this->now),
+              suspected / 2);
+}
+
 } // namespace damaskgate::upstreams
