upstreams: log each belief that a new host takes over

A host that avoids endpoints from its first request on must say why: one line for each endpoint whose fault probability it took over, with that value.

--- a/src/fleet/include/damaskgate/fleet/fleettable.h
+++ b/src/fleet/include/damaskgate/fleet/fleettable.h
@@ -100,8 +100,8 @@
     bool isLive(const core::HostName &name, core::Instant now) const;
 
     /**
-     * @return whether the process of @p name has sent its first message within
-     *         FleetTiming::startTime
+     * @return whether the process of @p name has sent its first message to this host within the
+     *         last FleetTiming::startTime
      */
     bool hasJustStarted(const core::HostName &name, core::Instant now) const;
 
--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -449,15 +449,16 @@
     return beliefs;
 }
 
-void EndpointSelector::onBelief(std::uint32_t endpointHash, double faultProbability,
+bool EndpointSelector::onBelief(std::uint32_t endpointHash, double faultProbability,
                                 core::Instant now)
 {
     Entry *entry = this->findByHash(endpointHash);
     if (entry == nullptr || entry->faultEstimator.hasEvidence()) {
-        return;
+        return false;
     }
     entry->faultEstimator.adopt(faultProbability, now);
     entry->hasLastRequestFailed = faultProbability > this->policy.suspectThreshold;
+    return true;
 }
 
 std::optional<core::EndpointName> EndpointSelector::nameOf(std::uint32_t endpointHash) const
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -20,8 +20,8 @@
     Refused = 5, //!< a host refused a request; the item's subject is the service
     Redirected = 4, //!< a host sent a further attempt of a request that no endpoint has received
     UncountedEnded = 6, //!< like Ended, but a failure does not count against the service
-    Known = 8, //!< the amount is a fault probability, the account the rate limit
     Leaving = 7, //!< an endpoint announced that it leaves; the account is its start stamp
+    Belief = 8, //!< for a new host: the amount is a fault probability, the account the rate limit
 };
 
 // A response is late after the typical latency times LateLatencyFactor plus LateMargin.
@@ -248,7 +248,7 @@
          this->dependencies.selector.beliefs(this->dependencies.clock.now())) {
         const std::uint32_t rateLimit =
             belief.requestsPerSecond ? encodeRateLimit(belief.requestsPerSecond) : UnknownRateLimit;
-        items.push_back({ static_cast<std::uint8_t>(GossipKind::Known),
+        items.push_back({ static_cast<std::uint8_t>(GossipKind::Belief),
                           static_cast<std::uint16_t>(belief.faultProbability * ProbabilityUnits),
                           belief.nameHash, rateLimit, 0 });
         if (belief.isLeaving) {
@@ -275,10 +275,8 @@
         this->dependencies.selector.onStarted(item.subject, item.origin,
                                               this->dependencies.clock.now());
         return;
-    case GossipKind::Known:
-        this->dependencies.selector.onBelief(item.subject, item.amount / ProbabilityUnits,
-                                             this->dependencies.clock.now());
-        this->applyRateLimit(item);
+    case GossipKind::Belief:
+        this->onRemoteBelief(item);
         return;
     case GossipKind::Leaving:
         this->recordLeaving(item.subject, item.account, "gossip");
@@ -290,6 +288,19 @@
     }
 }
 
+void FleetBalancer::onRemoteBelief(const fleet::GossipItem &item)
+{
+    EndpointSelector &selector = this->dependencies.selector;
+    const double faultProbability = item.amount / ProbabilityUnits;
+    if (selector.onBelief(item.subject, faultProbability, this->dependencies.clock.now())) {
+        const auto name = selector.nameOf(item.subject);
+        this->dependencies.events.record({ "endpoint-belief-adopted",
+                                           { { "endpoint", name ? name->text() : std::string() },
+                                             { "badness", faultProbability } } });
+    }
+    this->applyRateLimit(item);
+}
+
 void FleetBalancer::onRemoteEnd(const fleet::GossipItem &item)
 {
     if (item.amount <= LastOutcome) {
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -56,7 +56,7 @@
 /** @return the name of @p kind in logs, such as `restarted`. */
 std::string_view toText(EndpointChange::Kind kind);
 
-/** @return whether @p outcome is that of a request that an endpoint failed or did not get. */
+/** @return whether @p outcome is a failure of the endpoint or of the connection to it. */
 bool isFailure(balance::Outcome outcome);
 
 /** What a host knows of an endpoint beyond its registration, for a host that has just started. */
@@ -225,8 +225,10 @@
     /**
      * Records the fault probability that another host estimates for an endpoint, unless an outcome
      * is known.
+     *
+     * @return whether it was recorded
      */
-    void onBelief(std::uint32_t endpointHash, double faultProbability, core::Instant now);
+    bool onBelief(std::uint32_t endpointHash, double faultProbability, core::Instant now);
 
     /** @return the name of the endpoint with the name hash @p endpointHash, if known. */
     std::optional<core::EndpointName> nameOf(std::uint32_t endpointHash) const;
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -47,9 +47,6 @@
      */
     void onRefused(const core::ServiceName &service, core::Reason reason);
 
-    /** @return the gossip items that tell a host that has just started what this host knows. */
-    std::vector<fleet::GossipItem> snapshot() const;
-
 private:
     struct ActiveAttempt
     {
@@ -67,6 +64,9 @@
                        std::string_view origin);
     void recordRateLimit(std::uint32_t endpointHash, std::optional<double> requestsPerSecond,
                          std::string_view origin);
+    /** @return the gossip items that tell a host that has just started what this host knows. */
+    std::vector<fleet::GossipItem> snapshot() const;
+    void onRemoteBelief(const fleet::GossipItem &item);
     void onRemoteEnd(const fleet::GossipItem &item);
     void applyRateLimit(const fleet::GossipItem &item);
     void onRemoteRefusal(std::uint32_t serviceHash);
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -416,7 +416,7 @@
     const double before = *this->selector.faultProbabilityOf(name, this->clock.now());
 
     // [WHEN] The belief of another host arrives late
-    this->selector.onBelief(core::nameHash("a"), 0.9, this->clock.now());
+    EXPECT_FALSE(this->selector.onBelief(core::nameHash("a"), 0.9, this->clock.now()));
 
     // [THEN] The own evidence counts
     EXPECT_DOUBLE_EQ(*this->selector.faultProbabilityOf(name, this->clock.now()), before);
