--- a/src/entry/tests/download_test.cpp
+++ b/src/entry/tests/download_test.cpp
@@ -141,6 +141,7 @@
 
     // [WHEN] The endpoints send until they are blocked
     std::vector<std::future<std::size_t>> sent;
+    sent.reserve(SlowReaders);
     for (RawPeer &upstream : upstreams) {
         sent.push_back(std::async(
             std::launch::async, [&upstream] { return upstream.sendUntilBlocked(DownloadBytes); }));
