upstreams: keep the floor of endpoints in use before a tenth is unserved

Cause: since retried failures and refusals for a rate no longer count, the failure rate is close to the share that is unserved, and the floor opened when the estimate had passed a tenth itself. Hosts learn of outcomes late, and failed probes, which are unserved orders too, do not count, so the true share is above a tenth before. Counting too much had hidden it.

Change: the floor is kept from 0.7 of that rate on.

--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -43,6 +43,10 @@
 constexpr int LatencySamples = 16;
 constexpr int LatencyPriorSamples = 2;
 
+// The floor of endpoints in use is kept from this part of the failure rate on that demands it. Hosts
+// learn of outcomes late, and failed probes and requests whose caller has left do not count there.
+constexpr double FloorRateMargin = 0.7;
+
 // Fraction of the requests sent to idle endpoints, per fraction of the endpoints that are idle.
 constexpr double FloorFractionFactor = 3;
 
@@ -559,7 +563,7 @@
 {
     const auto found = this->successRates.find(service);
     return found != this->successRates.end()
-        && found->second.failureRate(now) > this->policy.floorFailureRate;
+        && found->second.failureRate(now) > this->policy.floorFailureRate * FloorRateMargin;
 }
 
 // While the failure rate is high, suspected endpoints are needed as capacity, and a failure does
--- a/src/upstreams/tests/floor_test.cpp
+++ b/src/upstreams/tests/floor_test.cpp
@@ -37,9 +37,10 @@
     milliseconds gossipDelay { 0 };
     std::chrono::microseconds gap { 20000 }; //!< time between two requests
     bool isRepeatable = false;
+    double refusedFraction = 0.25; //!< of the requests, while hosts refuse
 };
 
-/** A service whose faulty endpoints fail all requests and whose hosts can refuse a quarter. */
+/** A service whose faulty endpoints fail all requests and whose hosts can refuse some. */
 class FaultyService
 {
 public:
@@ -63,13 +64,15 @@
 
     void run(seconds length, bool isRefusing)
     {
-        std::bernoulli_distribution refused(0.25);
+        std::bernoulli_distribution refused(this->load.refusedFraction);
         std::uniform_int_distribution<std::size_t> pickHost(0, this->fleet.size() - 1);
         for (const core::Instant end = this->now() + length; this->now() < end;
              this->fleet.advance(this->load.gap)) {
             const std::size_t host = pickHost(this->random);
+            this->requestedAt.push_back(this->now());
             if (isRefusing && refused(this->random)) {
                 this->fleet.refuse(host, this->request.service);
+                this->unservedAt.push_back(this->now());
                 continue;
             }
             const auto choice = this->fleet.send(host, this->request);
@@ -81,6 +84,7 @@
             this->usedAt[name].push_back(this->now());
             if (isFaulty) {
                 this->failedAt[name].push_back(this->now());
+                this->unservedAt.push_back(this->now());
             }
         }
     }
@@ -94,17 +98,20 @@
         double least = 1;
         for (core::Instant start = from; start + Window <= this->now();
              start += milliseconds(100)) {
-            int healthy = 0;
-            int used = 0;
-            for (int i = 0; i < this->load.endpoints; ++i) {
-                const std::string name = nameOf(i);
-                if (this->isAnyIn(this->failedAt, name, start - recoveryTime, start + Window)) {
-                    continue;
-                }
-                ++healthy;
-                used += this->isAnyIn(this->usedAt, name, start, start + Window) ? 1 : 0;
+            least = std::min(least, this->fractionInUse(start, recoveryTime));
+        }
+        return least;
+    }
+
+    /** @return the same over the windows in which more than a tenth of the requests is unserved. */
+    double leastFractionInUseWhileUnserved(core::Instant from) const
+    {
+        double least = 1;
+        for (core::Instant start = from; start + Window <= this->now();
+             start += milliseconds(500)) {
+            if (countIn(this->unservedAt, start) * 10 > countIn(this->requestedAt, start)) {
+                least = std::min(least, this->fractionInUse(start, NoRecoveryTime));
             }
-            least = std::min(least, static_cast<double>(used) / healthy);
         }
         return least;
     }
@@ -126,6 +133,27 @@
 private:
     using InstantsByEndpoint = std::map<std::string, std::vector<core::Instant>>;
 
+    static std::ptrdiff_t countIn(const std::vector<core::Instant> &times, core::Instant start)
+    {
+        return std::ranges::count_if(
+            times, [start](core::Instant at) { return at >= start && at < start + Window; });
+    }
+
+    double fractionInUse(core::Instant start, seconds recoveryTime) const
+    {
+        int healthy = 0;
+        int used = 0;
+        for (int i = 0; i < this->load.endpoints; ++i) {
+            const std::string name = nameOf(i);
+            if (this->isAnyIn(this->failedAt, name, start - recoveryTime, start + Window)) {
+                continue;
+            }
+            ++healthy;
+            used += this->isAnyIn(this->usedAt, name, start, start + Window) ? 1 : 0;
+        }
+        return static_cast<double>(used) / healthy;
+    }
+
     bool isAnyIn(const InstantsByEndpoint &times, const std::string &name, core::Instant from,
                  core::Instant until) const
     {
@@ -143,6 +171,8 @@
     std::mt19937_64 random { 11 };
     InstantsByEndpoint usedAt;
     InstantsByEndpoint failedAt;
+    std::vector<core::Instant> requestedAt;
+    std::vector<core::Instant> unservedAt;
 };
 
 /** @return the least fraction in use while a quarter of @p load is refused for 20 s. */
@@ -164,6 +194,32 @@
     EXPECT_GE(leastFractionUnderRefusals(Load {}), FloorFraction);
 }
 
+// The load: about a tenth of the requests is unserved, a little more in some windows than in
+// others, and a third of the endpoints is suspected.
+TEST(Floor_Tests, Choose_AboutATenthUnserved_KeepsTheFloorWheneverItIsMore)
+{
+    for (const double refusedFraction : { 0.08, 0.09, 0.1 }) {
+        SCOPED_TRACE(refusedFraction);
+        // [GIVEN] A fleet and a service with suspected endpoints
+        Load load;
+        load.hosts = 48;
+        load.endpoints = 27;
+        load.faultyEndpoints = 9;
+        load.gossipDelay = milliseconds(100);
+        load.gap = milliseconds(8);
+        load.refusedFraction = refusedFraction;
+        FaultyService service(load);
+        service.run(seconds(4), true);
+
+        // [WHEN] A minute passes
+        const core::Instant from = service.now();
+        service.run(seconds(60), true);
+
+        // [THEN] In each window with more than a tenth unserved, enough endpoints are in use
+        EXPECT_GE(service.leastFractionInUseWhileUnserved(from), FloorFraction);
+    }
+}
+
 TEST(Floor_Tests, Choose_ManyHostsWithLateGossip_KeepsTheFloorOfEndpointsInUse)
 {
     // [GIVEN] A large fleet whose hosts choose before they learn what the others chose
