--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -43,8 +43,9 @@
 constexpr int LatencySamples = 16;
 constexpr int LatencyPriorSamples = 2;
 
-// The floor of endpoints in use is kept from this part of the failure rate on that demands it. Hosts
-// learn of outcomes late, and failed probes and requests whose caller has left do not count there.
+// The floor of endpoints in use is kept from this part of the failure rate on that demands it.
+// Hosts learn of outcomes late, and failed probes and requests whose caller has left do not count
+// there.
 constexpr double FloorRateMargin = 0.7;
 
 // Fraction of the requests sent to idle endpoints, per fraction of the endpoints that are idle.
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -55,15 +55,16 @@
     return notice ? encodeRateLimit(notice->requestsPerSecond) : UnknownRateLimit;
 }
 
-// Returns whether a request that no endpoint received was refused since the endpoints of its
-// service could not serve it. Other reasons, such as the rate limit of a workspace, say nothing
-// about them.
-bool isLackOfCapacity(core::Reason reason)
+// Returns whether a refusal leaves a proper request of a service unserved. A rate limit says
+// nothing about the endpoints, but the floor of endpoints in use holds for all unserved requests. A
+// key, a malformed request or a host that starts or stops is no matter of the service.
+bool isProperRequestUnserved(core::Reason reason)
 {
     using core::Reason;
     constexpr std::array Reasons { Reason::QueueFull,    Reason::DeadlineTooShort,
                                    Reason::NoEndpoint,   Reason::DeadlineExceeded,
-                                   Reason::UpstreamShed, Reason::UpstreamUnreachable };
+                                   Reason::UpstreamShed, Reason::UpstreamUnreachable,
+                                   Reason::RateLimited };
     return std::ranges::find(Reasons, reason) != Reasons.end();
 }
 
@@ -189,7 +190,7 @@
 
 void FleetBalancer::onRefused(const core::ServiceName &service, core::Reason reason)
 {
-    if (!isLackOfCapacity(reason)) {
+    if (!isProperRequestUnserved(reason)) {
         return;
     }
     this->dependencies.selector.onRequestRefused(service, this->dependencies.clock.now());
--- a/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
+++ b/src/upstreams/include/damaskgate/upstreams/fleetbalancer.h
@@ -43,7 +43,7 @@
     /**
      * Records that this host refused a request to @p service before sending it. The refusal counts
      * in the failure rate of the service, and is published, only if @p reason is a lack of usable
-     * endpoints: the failure rate decides whether suspected endpoints get requests.
+     * endpoints or the rate of a workspace: a proper request is not served then.
      */
     void onRefused(const core::ServiceName &service, core::Reason reason);
 
