--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -133,12 +133,13 @@
     const bool isFailureCounted = !attempt.choice.isProbe && !report.isRetried;
     this->dependencies.selector.onEnded(endpointHash, 0, outcome, this->dependencies.clock.now(),
                                         isFailureCounted);
-    // Until the other hosts know of the fault, they send requests to the endpoint.
-    const bool isFirstSign = isFailure(outcome) && !attempt.choice.isProbe;
+    // The other hosts go on to use an endpoint until they know that it fails. Probes tell nothing
+    // new.
+    const bool isUrgent = isFailure(outcome) && !attempt.choice.isProbe;
     const GossipKind kind = isFailureCounted ? GossipKind::Ended : GossipKind::UncountedEnded;
     this->dependencies.gossip.publish({ static_cast<std::uint8_t>(kind),
                                         static_cast<std::uint16_t>(outcome), endpointHash,
-                                        encodeRateLimit(report.notice), 0, isFirstSign });
+                                        encodeRateLimit(report.notice), 0, isUrgent });
 }
 
 void FleetBalancer::onNotice(const ActiveAttempt &attempt, const balance::EndpointNotice &notice)
--- a/src/upstreams/tests/floor_test.cpp
+++ b/src/upstreams/tests/floor_test.cpp
@@ -38,13 +38,15 @@
     std::chrono::microseconds gap { 20000 }; //!< time between two requests
     bool isRepeatable = false;
     double refusedFraction = 0.25; //!< of the requests, while hosts refuse
+    std::uint64_t seed = 11;
 };
 
 /** A service whose faulty endpoints fail all requests and whose hosts can refuse some. */
 class FaultyService
 {
 public:
-    explicit FaultyService(const Load &load = {}) : load(load), fleet(load.hosts, load.gossipDelay)
+    explicit FaultyService(const Load &load = {})
+        : load(load), fleet(load.hosts, load.gossipDelay), random(load.seed)
     {
         this->request.isRepeatable = load.isRepeatable;
         std::vector<RegisteredEndpoint> list;
@@ -104,11 +106,10 @@
     }
 
     /** @return the same over the windows in which more than a tenth of the requests is unserved. */
-    double leastFractionInUseWhileUnserved(core::Instant from) const
+    double leastFractionInUseWhileUnserved(core::Instant from, milliseconds step) const
     {
         double least = 1;
-        for (core::Instant start = from; start + Window <= this->now();
-             start += milliseconds(500)) {
+        for (core::Instant start = from; start + Window <= this->now(); start += step) {
             if (countIn(this->unservedAt, start) * 10 > countIn(this->requestedAt, start)) {
                 least = std::min(least, this->fractionInUse(start, NoRecoveryTime));
             }
@@ -168,7 +169,7 @@
     SelectorFleet fleet;
     std::set<std::string> faultyNames;
     balance::WorkRequest request { core::ServiceName("booking"), {}, false, {}, {} };
-    std::mt19937_64 random { 11 };
+    std::mt19937_64 random;
     InstantsByEndpoint usedAt;
     InstantsByEndpoint failedAt;
     std::vector<core::Instant> requestedAt;
@@ -185,6 +186,28 @@
     return service.leastFractionInUse(from, NoRecoveryTime);
 }
 
+Load loadNearTheFloorRate()
+{
+    Load load;
+    load.hosts = 48;
+    load.endpoints = 27;
+    load.faultyEndpoints = 9;
+    load.gossipDelay = milliseconds(100);
+    load.gap = milliseconds(8);
+    return load;
+}
+
+/** @return the least fraction in use in the windows of a minute that leave over a tenth unserved.
+ */
+double leastFractionWhileUnserved(const Load &load, milliseconds step)
+{
+    FaultyService service(load);
+    service.run(seconds(4), true);
+    const core::Instant from = service.now();
+    service.run(seconds(60), true);
+    return service.leastFractionInUseWhileUnserved(from, step);
+}
+
 } // namespace
 
 TEST(Floor_Tests, Choose_ManyRequestsRefused_KeepsTheFloorOfEndpointsInUse)
@@ -200,23 +223,26 @@
 {
     for (const double refusedFraction : { 0.08, 0.09, 0.1 }) {
         SCOPED_TRACE(refusedFraction);
-        // [GIVEN] A fleet and a service with suspected endpoints
-        Load load;
-        load.hosts = 48;
-        load.endpoints = 27;
-        load.faultyEndpoints = 9;
-        load.gossipDelay = milliseconds(100);
-        load.gap = milliseconds(8);
+        Load load = loadNearTheFloorRate();
         load.refusedFraction = refusedFraction;
-        FaultyService service(load);
-        service.run(seconds(4), true);
-
-        // [WHEN] A minute passes
-        const core::Instant from = service.now();
-        service.run(seconds(60), true);
 
         // [THEN] In each window with more than a tenth unserved, enough endpoints are in use
-        EXPECT_GE(service.leastFractionInUseWhileUnserved(from), FloorFraction);
+        EXPECT_GE(leastFractionWhileUnserved(load, milliseconds(500)), FloorFraction);
+    }
+}
+
+TEST(Floor_Tests, Choose_AboutATenthUnservedManySeeds_KeepsTheFloorWheneverItIsMore)
+{
+    for (std::uint64_t seed = 1; seed <= 11; ++seed) {
+        for (const double refusedFraction : { 0.08, 0.09, 0.1 }) {
+            SCOPED_TRACE(testing::Message() << "seed " << seed << ", refused " << refusedFraction);
+            Load load = loadNearTheFloorRate();
+            load.refusedFraction = refusedFraction;
+            load.seed = seed;
+
+            // [THEN] The same holds for windows that start at any tenth of a second
+            EXPECT_GE(leastFractionWhileUnserved(load, milliseconds(100)), FloorFraction);
+        }
     }
 }
 
