--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -25,6 +25,7 @@
 PROGRAM = "target/bin/damaskgate-gateway"  # the run line of deploy/system.toml
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LONGEST_RUN_S = 115
+MAX_EVENTS = 200  # that the store keeps for watches
 
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
@@ -135,9 +136,10 @@
         return server.sockets[0].getsockname()[1]
 
     def put(self, key, value):
-        """Writes an item. The return is the acknowledgement."""
+        """Writes a JSON value, or bytes as they are. The return is the acknowledgement."""
         self.revision += 1
-        text = base64.b64encode(json.dumps(value).encode()).decode()
+        octets = value if isinstance(value, bytes) else json.dumps(value).encode()
+        text = base64.b64encode(octets).decode()
         created = self.items[key]["createRev"] if key in self.items else self.revision
         self.items[key] = {"key": key, "value": text, "rev": self.revision,
                            "createRev": created, "lease": 0}
@@ -150,6 +152,7 @@
 
     def _publish(self, event):
         self.events.append(event)
+        del self.events[:-MAX_EVENTS]
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -179,6 +182,8 @@
                          "hasMore": len(keys) > 400, "asOf": self.revision}
         if path != "/v1/kv-watch":
             return 404, {}
+        if self.events and self.events[0]["rev"] > int(after) + 1:
+            return 410, {}
         until = time.monotonic() + int(fields["waitMs"]) / 1000
         while self.revision <= int(after) and time.monotonic() < until:
             try:
@@ -220,13 +225,20 @@
         self.port = self.server.sockets[0].getsockname()[1]
         self.register()
 
-    def register(self):
+    @property
+    def key(self):
+        return f"servers/{self.name}"
+
+    def entry(self):
+        """Returns the next entry that the endpoint writes."""
         self.sequence += 1
-        self.trial.store.put(f"servers/{self.name}", {
-            "address": f"127.0.0.1:{self.port}", "born": self.born,
-            "info": {"service": self.service, "version": "v1", "zone": self.zone,
-                     "slots": self.slots},
-            "status": {"state": self.state, "seq": self.sequence, "coldLeftS": 0}})
+        return {"address": f"127.0.0.1:{self.port}", "born": self.born,
+                "info": {"service": self.service, "version": "v1", "zone": self.zone,
+                         "slots": self.slots},
+                "status": {"state": self.state, "seq": self.sequence, "coldLeftS": 0}}
+
+    def register(self):
+        self.trial.store.put(self.key, self.entry())
 
     async def _serve(self, reader, writer):
         try:
@@ -326,6 +338,15 @@
         self.process.send_signal(number)
         self.trial.note(f"signal {signal.Signals(number).name} to {self.name}")
 
+    def resident_mb(self):
+        """Returns the memory that the process uses now, 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        sizes = [line.split()[1] for line in status.splitlines() if line.startswith("VmRSS:")]
+        return int(sizes[0]) / 1024 if sizes else 0
+
     async def is_ready(self):
         try:
             answer = await exchange(self.address, self.trial.ports["ready"], "GET", "/v1/ready", {})
