--- a/review/1/case.py
+++ b/review/1/case.py
@@ -95,4 +95,4 @@
             f"{', '.join(repeated[:5])}"]
 
 
-fleet.play(FOLDER, case)
+fleet.play(FOLDER / "record.txt", case)
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,10 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Writes what was sent, answered and run to record.txt in this folder. Exits with 1 if the rule was
+# broken, 0 if it held, 2 if the case could not run.
 command -v python3 > /dev/null || exit 2
-exec python3 -B "$(dirname "$0")/case.py"
+folder="$(cd "$(dirname "$0")" && pwd)"
+rm -f "$folder/record.txt"
+python3 -B "$folder/case.py"
+code=$?
+test -s "$folder/record.txt" || exit 2
+exit "$code"
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -77,4 +77,4 @@
             f"allowed: {sorted(allowed)}"]
 
 
-fleet.play(FOLDER, case)
+fleet.play(FOLDER / "record.txt", case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -115,4 +115,4 @@
             f"sent; at most {age:.2f} s before: id={run.request_id} at {host} by {run.service}"]
 
 
-fleet.play(FOLDER, case)
+fleet.play(FOLDER / "record.txt", case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -88,4 +88,4 @@
             f"store acknowledged that it is gone"]
 
 
-fleet.play(FOLDER, case)
+fleet.play(FOLDER / "record.txt", case)
--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -375,9 +375,8 @@
 class Trial:
     """One play of a case."""
 
-    def __init__(self, folder):
-        self.record_path = pathlib.Path(folder) / "record.txt"
-        self.record = open(self.record_path, "w")
+    def __init__(self, record_path):
+        self.record = open(record_path, "w")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="damaskgate-review-"))
         self.started = time.monotonic()
         self.processes, self.runs, self.hosts, self.endpoints = [], [], [], []
@@ -492,9 +491,12 @@
         await asyncio.gather(*rest, return_exceptions=True)
 
 
-def play(folder, case):
-    """Plays case(trial), which returns the violations that were seen, and exits."""
-    trial = Trial(folder)
+def play(record_path, case):
+    """Plays case(trial), which returns the violations that were seen, and exits.
+
+    The record file gets what was sent, answered and run.
+    """
+    trial = Trial(record_path)
 
     def stop(*_):
         raise CannotRun("stopped by a signal")
