routing: match a prefix that ends with a slash only to paths that begin with it

Cause: RouteIndex removed the last slash of prefixes and paths before it compared them. The project's own settings mean that, the users' configuration does not.

Change: the index compares octet by octet. Hosts and prefixes are looked up apart: "Host: a.example/orders" no longer counts as a part of the path.

--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -119,6 +119,32 @@
     EXPECT_FALSE(this->second.hasPending());
 }
 
+// Guards against an unsafe request that ran twice, since its path is the prefix of a safe route
+// without the last slash.
+TEST_F(Retry_Tests, LostAnswer_PathIsPrefixOfSafeRouteWithoutItsSlash_IsNotSentAgain)
+{
+    // [GIVEN] A safe route below an unsafe one
+    auto settings = makeSettings();
+    settings->routes.at(core::RouteName("book")).pathPrefix = "/book/";
+    settings::Route &read = settings->routes.at(core::RouteName("read"));
+    read.pathPrefix = "/book/list/";
+    read.isRepeatableByAnyMethod = true;
+    this->store.replace(settings);
+    this->start();
+
+    // [WHEN] An endpoint runs a request for the prefix of the safe route without its last slash,
+    // and the answer is lost
+    RawPeer caller = this->sendNew("POST /book/list");
+    {
+        RawPeer losing = this->first.accept();
+        losing.readRequestHead();
+    }
+
+    // [THEN] The request is on the unsafe route and is not sent again
+    EXPECT_EQ(caller.readResponse().status(), 502);
+    EXPECT_FALSE(this->second.hasPending());
+}
+
 TEST_F(Retry_Tests, LateAnswer_WorkThatMayRepeat_IsAbandonedForAnotherEndpoint)
 {
     // [GIVEN] A hanging endpoint and a late threshold of 50 ms
--- a/src/routing/include/damaskgate/routing/routeindex.h
+++ b/src/routing/include/damaskgate/routing/routeindex.h
@@ -22,10 +22,11 @@
 
     /**
      * Finds the route that accepts @p method among the routes with the longest path prefix that
-     * matches @p path. A prefix matches whole path segments only. Routes without a host are
-     * searched only if no route of @p host matches the path.
+     * matches @p path. A prefix that ends with a slash matches the paths that begin with it. Any
+     * other prefix matches the path that is equal to it and the paths below that one. Routes
+     * without a host are searched only if no route of @p host matches the path.
      *
-     * @param path path that was normalized by normalizeTarget()
+     * @param path path that begins with a slash; compared octet by octet
      * @param method HTTP method, compared case-sensitively
      * @param host host name of the request, in lower case and without a port
      * @return the route, which is valid as long as the index, or RouteUnknown
@@ -50,11 +51,12 @@
         std::size_t operator()(const core::Sha256 &digest) const noexcept;
     };
     using RouteList = std::vector<const settings::Route *>;
+    using RoutesByPrefix = std::unordered_map<std::string, RouteList, TextHash, std::equal_to<>>;
 
     const RouteList *findLongestPrefix(std::string_view host, std::string_view path) const;
 
     settings::SettingsPtr indexedSettings;
-    std::unordered_map<std::string, RouteList, TextHash, std::equal_to<>> routesByPrefix;
+    std::unordered_map<std::string, RoutesByPrefix, TextHash, std::equal_to<>> routesByHost;
     std::unordered_map<core::Sha256, const settings::Workspace *, DigestHash> workspacesByKey;
 };
 
--- a/src/routing/routeindex.cpp
+++ b/src/routing/routeindex.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-std::string_view withoutTrailingSlash(std::string_view prefix)
-{
-    return prefix.ends_with('/') ? prefix.substr(0, prefix.size() - 1) : prefix;
-}
-
 bool acceptsMethod(const settings::Route &route, std::string_view method)
 {
     return route.methods.empty() || std::ranges::find(route.methods, method) != route.methods.end();
@@ -38,8 +33,7 @@
         return;
     }
     for (const auto &[name, route] : this->indexedSettings->routes) {
-        this->routesByPrefix[route.host + std::string(withoutTrailingSlash(route.pathPrefix))]
-            .push_back(&route);
+        this->routesByHost[route.host][route.pathPrefix].push_back(&route);
     }
     this->workspacesByKey.reserve(this->indexedSettings->workspaces.size());
     for (const auto &[name, workspace] : this->indexedSettings->workspaces) {
@@ -89,18 +83,22 @@
 const RouteIndex::RouteList *RouteIndex::findLongestPrefix(std::string_view host,
                                                            std::string_view path) const
 {
-    const std::string hostAndPath = std::string(host) + std::string(withoutTrailingSlash(path));
-    std::string_view prefix = hostAndPath;
-    while (true) {
-        const auto found = this->routesByPrefix.find(prefix);
-        if (found != this->routesByPrefix.end()) {
+    const auto routesOfHost = this->routesByHost.find(host);
+    if (routesOfHost == this->routesByHost.end()) {
+        return nullptr;
+    }
+    const RoutesByPrefix &routes = routesOfHost->second;
+    std::string_view prefix = path;
+    while (!prefix.empty()) {
+        const auto found = routes.find(prefix);
+        if (found != routes.end()) {
             return &found->second;
         }
-        if (prefix.size() <= host.size()) {
-            return nullptr;
-        }
-        prefix = prefix.substr(0, prefix.rfind('/'));
+        // The next shorter prefix that can match ends before or after the last slash.
+        prefix = prefix.ends_with('/') ? prefix.substr(0, prefix.size() - 1)
+                                       : prefix.substr(0, prefix.rfind('/') + 1);
     }
+    return nullptr;
 }
 
 bool isAllowed(const settings::Route &route, const core::WorkspaceName &workspace)
--- a/src/settings/fieldvalue.cpp
+++ b/src/settings/fieldvalue.cpp
@@ -275,7 +275,8 @@
         this->reportWithValue(expected);
         return;
     }
-    out = *text;
+    const bool isRoot = text->size() == 1;
+    out = !isRoot && text->ends_with('/') ? text->substr(0, text->size() - 1) : *text;
 }
 
 void FieldValue::readMethods(std::vector<std::string> &out) const
--- a/src/settings/fieldvalue.h
+++ b/src/settings/fieldvalue.h
@@ -66,7 +66,10 @@
     /** Reads an IPv4 or IPv6 address. */
     void readAddress(std::string &out) const;
 
-    /** Reads the path prefix of a route. */
+    /**
+     * Reads the path prefix of a route, without the slash at its end: in settings, a prefix covers
+     * its own path, too.
+     */
     void readPathPrefix(std::string &out) const;
 
     /** Reads a list of HTTP methods. */
