entry: select the route by the path that the endpoint gets

On the users' platform endpoints get the target byte for byte, but the route was found by the normalized path: POST /orders/%77aitlist/1 counted as a request of the safe route /orders/waitlist/, though its path begins with the prefix of the unsafe route /orders/ only. It would have been sent again after a lost answer.

Where the target is forwarded as it was sent, the path as it was sent selects the route. The normalized form is still checked for forms that upstreams read in different ways.

--- a/src/entry/checkedrequest.cpp
+++ b/src/entry/checkedrequest.cpp
@@ -109,6 +109,7 @@
     RequestInfo info;
     info.target = std::move(*target);
     info.sentTarget = toView(header.target());
+    info.routedPath = dialect.isTargetForwardedVerbatim ? info.target.sentPath : info.target.path;
     info.host = readHost(header, info.target);
     info.keyFilter = findKeys(header, info.target.query, dialect);
     const auto key = info.keyFilter.key();
@@ -137,7 +138,7 @@
 
 core::Result<Permission> findPermission(const RequestInfo &info, routing::RouteIndexPtr index)
 {
-    const auto route = index->findRoute(info.target.path, info.method, info.host);
+    const auto route = index->findRoute(info.routedPath, info.method, info.host);
     if (!route) {
         return tl::unexpected(route.error());
     }
--- a/src/entry/checkedrequest.h
+++ b/src/entry/checkedrequest.h
@@ -21,6 +21,7 @@
 struct RequestInfo
 {
     routing::RequestTarget target;
+    std::string routedPath; //!< path that selects the route: the one that the endpoint gets
     routing::KeyFilter keyFilter;
     std::string key; //!< empty if none was sent
     std::string method;
--- a/src/entry/tests/retry_test.cpp
+++ b/src/entry/tests/retry_test.cpp
@@ -145,6 +145,32 @@
     EXPECT_FALSE(this->second.hasPending());
 }
 
+// Guards against an unsafe request that runs twice, since a decoded form of its path is on a safe
+// route.
+TEST_F(Retry_Tests, LostAnswer_EncodedPathForwardedVerbatim_IsOnTheRouteOfThePathAsSent)
+{
+    // [GIVEN] A safe route below an unsafe one, and endpoints that get the target as it was sent
+    auto settings = makeSettings();
+    settings->routes.at(core::RouteName("book")).pathPrefix = "/book/";
+    settings::Route &read = settings->routes.at(core::RouteName("read"));
+    read.pathPrefix = "/book/list/";
+    read.isRepeatableByAnyMethod = true;
+    this->store.replace(settings);
+    this->options.dialect.isTargetForwardedVerbatim = true;
+    this->start();
+
+    // [WHEN] The answer to a request is lost that has an encoded letter in its path
+    RawPeer caller = this->sendNew("POST /book/%6Cist/1");
+    {
+        RawPeer losing = this->first.accept();
+        losing.readRequestHead();
+    }
+
+    // [THEN] The request is on the unsafe route and is not sent again
+    EXPECT_EQ(caller.readResponse().status(), 502);
+    EXPECT_FALSE(this->second.hasPending());
+}
+
 TEST_F(Retry_Tests, LateAnswer_WorkThatMayRepeat_IsAbandonedForAnotherEndpoint)
 {
     // [GIVEN] A hanging endpoint and a late threshold of 50 ms
--- a/src/routing/include/damaskgate/routing/requesttarget.h
+++ b/src/routing/include/damaskgate/routing/requesttarget.h
@@ -11,6 +11,7 @@
 struct RequestTarget
 {
     std::string path; //!< Path with a leading slash; unreserved characters are decoded
+    std::string sentPath; //!< Path as the caller sent it
     std::string query; //!< Query as the caller sent it, without the question mark
     std::string authority; //!< Authority of a target in absolute form; else empty
 };
--- a/src/routing/requesttarget.cpp
+++ b/src/routing/requesttarget.cpp
@@ -129,7 +129,8 @@
     }
     const std::string_view pathAndQuery = parts->pathAndQuery;
     const auto queryStart = std::min(pathAndQuery.find('?'), pathAndQuery.size());
-    auto path = normalizePath(pathAndQuery.substr(0, queryStart));
+    const std::string_view sentPath = pathAndQuery.substr(0, queryStart);
+    auto path = normalizePath(sentPath);
     if (!path) {
         return tl::unexpected(path.error());
     }
@@ -140,7 +141,8 @@
     if (!std::ranges::all_of(query, isQueryCharacter)) {
         return core::notRun(core::Reason::BadRequest, "query has a forbidden character");
     }
-    return RequestTarget { std::move(*path), std::string(query), std::string(parts->authority) };
+    return RequestTarget { std::move(*path), std::string(sentPath), std::string(query),
+                           std::string(parts->authority) };
 }
 
 } // namespace damaskgate::routing
