upstreams: hold back a start whose registration was removed and is back

Cause: setEndpoints() forgot a start with its registration, so that a registration that returns looked new. The sequence of the reports can't replace that memory: a late report may be newer than the last one that hosts have seen, since the store shows a report only if more than its sequence has changed.

Change: a removed start is remembered for 30 s. If it, or an earlier one, is registered again, it gets no requests until its registration has outlived the time after which the store removes silent ones, or has been renewed three times. A new start is used at once, and so are endpoints whose registrations lapsed while the source was away. A removal that is followed by a late report before the next list is seen by the revision in which the item was created, which the copies now carry.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <iterator>
 #include <random>
+#include <span>
 #include <utility>
 
 #include <boost/asio/signal_set.hpp>
@@ -35,6 +36,10 @@
 constexpr std::chrono::milliseconds MaintenanceInterval { 500 };
 // Registrations return within 2 s after the source has become reachable again.
 constexpr std::chrono::milliseconds SourceStableTime { 2200 };
+// The source removes a registration that is not renewed for this many intervals between status
+// reports; hosts learn of it within the margin.
+constexpr int LapseIntervals = 3;
+constexpr std::chrono::milliseconds LapseMargin { 500 };
 // A silent host still counts towards the size of the fleet for this long.
 constexpr std::chrono::seconds ReachabilityWindow { 10 };
 // Gives callers time to switch to other hosts before this host stops accepting connections.
@@ -58,6 +63,13 @@
     return result;
 }
 
+upstreams::SelectionPolicy selectionPolicy(const GatewayOptions &options)
+{
+    upstreams::SelectionPolicy policy = options.selectionPolicy;
+    policy.registrationLapseTime = options.registrationInterval * LapseIntervals + LapseMargin;
+    return policy;
+}
+
 std::vector<core::HostName> toNames(const std::vector<std::string> &addresses)
 {
     std::vector<core::HostName> names;
@@ -120,6 +132,7 @@
     void onMirrorChanged();
     void applySettings(const Items &items);
     void applyEndpoints();
+    void logChanges(std::span<const upstreams::EndpointChange> changes);
     void logUnreadableItems(const std::vector<UnreadableItem> &items);
     void onFleetChanged();
     std::vector<const fleet::Member *> servingMembers() const; //!< other hosts that accept callers
@@ -182,7 +195,7 @@
                     this->options.ports.peers, this->options.corePercent,
                     this->options.registrationInterval),
       admission(this->clock), retries(this->clock, this->options.retries),
-      selector(this->options.selectionPolicy, this->options.domain, this->incarnation),
+      selector(selectionPolicy(this->options), this->options.domain, this->incarnation),
       balancer({ this->clock, this->events, this->fleet, this->selector, this->admission,
                  this->retries }),
       servingState(this->liveSettings, this->selector), recorder(this->registry, this->events),
@@ -334,15 +347,19 @@
     this->logUnreadableItems(list.unreadable);
     const bool isStable = this->isSourceStable();
     this->selector.setWithdrawnDomains(this->platformAdapter->readWithdrawnDomains(items));
-    for (const upstreams::EndpointChange &change :
-         this->selector.setEndpoints(list.endpoints, isStable, this->clock.now())) {
+    this->logChanges(this->selector.setEndpoints(list.endpoints, isStable, this->clock.now()));
+    this->areMissingEndpointsKept = !isStable;
+}
+
+void Gateway::Impl::logChanges(std::span<const upstreams::EndpointChange> changes)
+{
+    for (const upstreams::EndpointChange &change : changes) {
         this->events.record({ "endpoint-changed",
                               { { "change", upstreams::toText(change.kind) },
                                 { "service", change.service.text() },
                                 { "endpoint", change.name.text() },
                                 { "revision", change.revision } } });
     }
-    this->areMissingEndpointsKept = !isStable;
 }
 
 void Gateway::Impl::logUnreadableItems(const std::vector<UnreadableItem> &items)
@@ -425,6 +442,7 @@
         if (this->areMissingEndpointsKept && this->isSourceStable()) {
             this->applyEndpoints();
         }
+        this->logChanges(this->selector.confirmReturns(this->clock.now()));
         this->scheduleMaintenance();
     });
 }
--- a/src/mirror/include/damaskgate/mirror/mirrortypes.h
+++ b/src/mirror/include/damaskgate/mirror/mirrortypes.h
@@ -12,6 +12,8 @@
     std::string key;
     std::string value;
     std::uint64_t revision = 0; //!< Revision of the last change of this item
+    /** Revision in which the item was created after its last removal; zero if it is not known. */
+    std::uint64_t createdRevision = 0;
 
     bool operator==(const Item &) const = default;
 };
--- a/src/mirror/mirror.capnp
+++ b/src/mirror/mirror.capnp
@@ -11,6 +11,8 @@
   valueBytes @3 :UInt32;
   # Revision of the item's value that the frame is relative to; zero: none.
   baseRevision @4 :UInt64;
+  # Revision in which the item was created after its last removal; zero if it is not known.
+  createdRevision @5 :UInt64;
 }
 
 struct Removal {
--- a/src/mirror/mirror.capnp.h
+++ b/src/mirror/mirror.capnp.h
@@ -35,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b28c01158ffed3c, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9b28c01158ffed3c, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -103,6 +103,8 @@
 
   inline  ::uint64_t getBaseRevision() const;
 
+  inline  ::uint64_t getCreatedRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -154,6 +156,9 @@
   inline  ::uint64_t getBaseRevision();
   inline void setBaseRevision( ::uint64_t value);
 
+  inline  ::uint64_t getCreatedRevision();
+  inline void setCreatedRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -479,6 +484,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Item::Reader::getCreatedRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Item::Builder::getCreatedRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Item::Builder::setCreatedRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Removal::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/mirror/mirrorcodec.cpp
+++ b/src/mirror/mirrorcodec.cpp
@@ -69,7 +69,8 @@
         if (!value) {
             return tl::unexpected(value.error());
         }
-        changes.items.push_back({ item.getKey().cStr(), std::move(*value), item.getRevision() });
+        changes.items.push_back({ item.getKey().cStr(), std::move(*value), item.getRevision(),
+                                  item.getCreatedRevision() });
     }
     for (const auto removal : wireChanges.getRemovals()) {
         changes.removals.push_back({ removal.getKey().cStr(), removal.getRevision() });
@@ -90,6 +91,7 @@
         const Item &item = changes.items[index];
         items[index].setKey(item.key.c_str());
         items[index].setRevision(item.revision);
+        items[index].setCreatedRevision(item.createdRevision);
         writeValue(items[index], item, findBase);
     }
     auto removals = root.initRemovals(static_cast<unsigned>(changes.removals.size()));
--- a/src/mirror/tests/mirrorcodec_test.cpp
+++ b/src/mirror/tests/mirrorcodec_test.cpp
@@ -22,7 +22,7 @@
 {
     // [GIVEN] Changes with a value that is not valid text
     const Changes changes {
-        12, true, { { "op/a", std::string("\0\xff{}", 4), 11 } }, { { "b", 9 } }
+        12, true, { { "op/a", std::string("\0\xff{}", 4), 11, 7 } }, { { "b", 9 } }
     };
 
     // [WHEN] They are encoded and decoded
--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -81,8 +81,8 @@
 
 std::string_view toText(EndpointChange::Kind kind)
 {
-    constexpr std::array<std::string_view, 5> Texts { "added", "restarted", "leaving", "gone",
-                                                      "outdated" };
+    constexpr std::array<std::string_view, 7> Texts { "added",    "restarted", "leaving",  "gone",
+                                                      "outdated", "returned",  "confirmed" };
     return Texts[static_cast<std::size_t>(kind)];
 }
 
@@ -135,12 +135,12 @@
     std::set<core::EndpointName> listed;
     for (const RegisteredEndpoint &registration : endpoints) {
         listed.insert(registration.endpoint.name);
-        if (const auto kind = this->applyRegistration(registration, now)) {
+        if (const auto kind = this->applyRegistration(registration, isSourceStable, now)) {
             changes.push_back(
                 { *kind, registration.endpoint.name, registration.service, registration.revision });
         }
     }
-    const auto isGone = [&listed, isSourceStable, &changes](const auto &item) {
+    const auto isGone = [this, &listed, isSourceStable, now, &changes](const auto &item) {
         const RegisteredEndpoint &registration = item.second.registration;
         const bool isKept =
             !isSourceStable && !registration.isLeaving && !item.second.hasAnnouncedLeaving;
@@ -149,10 +149,12 @@
         }
         changes.push_back({ EndpointChange::Kind::Gone, item.first, registration.service,
                             registration.revision });
+        this->departures.add({ item.second.nameHash, startStampOf(registration) }, now);
         return true;
     };
     std::erase_if(this->entries, isGone);
     this->forgetLeavingStarts(now);
+    this->departures.forgetOld(now);
     this->entriesByHash.clear();
     for (auto &[name, entry] : this->entries) {
         this->entriesByHash.emplace(entry.nameHash, &entry);
@@ -161,46 +163,116 @@
 }
 
 std::optional<EndpointChange::Kind>
-EndpointSelector::applyRegistration(const RegisteredEndpoint &registration, core::Instant now)
+EndpointSelector::applyRegistration(const RegisteredEndpoint &registration, bool isSourceStable,
+                                    core::Instant now)
 {
-    using Kind = EndpointChange::Kind;
     const auto found = this->entries.find(registration.endpoint.name);
     const bool isKnown = found != this->entries.end();
     if (isKnown && registration.revision == found->second.registration.revision) {
         return std::nullopt;
     }
-    if (isKnown && isOlder(registration, found->second.registration)) {
-        // Stores the revision so that the outdated registration is reported only once.
-        found->second.registration.revision = registration.revision;
-        return Kind::Outdated;
-    }
-    const bool isSameStart =
-        isKnown && found->second.registration.startedAtMillis == registration.startedAtMillis;
-    const bool wasLeaving = isSameStart && found->second.registration.isLeaving;
-    if (!isSameStart) {
-        const FaultEstimator initialEstimator(this->policy.faultModel, now);
-        this->entries.insert_or_assign(registration.endpoint.name,
-                                       Entry { registration,
-                                               core::nameHash(registration.endpoint.name.text()),
-                                               initialEstimator,
-                                               {},
-                                               {},
-                                               {},
-                                               {},
-                                               {},
-                                               {},
-                                               now });
-    }
-    Entry &entry = this->entries.at(registration.endpoint.name);
-    entry.registration = registration;
+    if (isKnown && registration.startedAtMillis <= found->second.registration.startedAtMillis) {
+        return this->applyNextReport(found->second, registration, isSourceStable, now);
+    }
+    const EndpointChange::Kind kind = this->addEntry(registration, now);
+    return isKnown ? EndpointChange::Kind::Restarted : kind;
+}
+
+// Applies a report of the known start of an endpoint, or of an earlier one.
+std::optional<EndpointChange::Kind>
+EndpointSelector::applyNextReport(Entry &entry, const RegisteredEndpoint &registration,
+                                  bool isSourceStable, core::Instant now)
+{
+    using Kind = EndpointChange::Kind;
+    RegisteredEndpoint &held = entry.registration;
+    // The registration was removed and created again between two lists.
+    const bool wasRemoved = isSourceStable && held.createdRevision != 0
+        && registration.createdRevision > held.createdRevision;
+    if (wasRemoved) {
+        this->departures.add({ entry.nameHash, startStampOf(held) }, now);
+        this->awaitConfirmation(entry, now);
+    } else if (entry.isReturnUnconfirmed) {
+        this->returnConfirmations.at(registration.endpoint.name).onReport(now);
+    }
+    if (isOlder(registration, held)) {
+        // Stores the revisions so that the outdated registration is reported only once.
+        held.revision = registration.revision;
+        held.createdRevision = registration.createdRevision;
+        return wasRemoved ? Kind::Returned : Kind::Outdated;
+    }
+    const bool wasLeaving = held.isLeaving;
+    held = registration;
     entry.hasAnnouncedLeaving = this->hasAnnouncedLeaving(registration);
     this->applyColdTime(entry, now);
-    if (!isSameStart) {
-        return isKnown ? Kind::Restarted : Kind::Added;
+    if (wasRemoved) {
+        return Kind::Returned;
     }
     return registration.isLeaving && !wasLeaving ? std::optional(Kind::Leaving) : std::nullopt;
 }
 
+EndpointChange::Kind EndpointSelector::addEntry(const RegisteredEndpoint &registration,
+                                                core::Instant now)
+{
+    const std::uint32_t nameHash = core::nameHash(registration.endpoint.name.text());
+    const FaultEstimator initialEstimator(this->policy.faultModel, now);
+    Entry added { registration, nameHash, initialEstimator, {}, {}, {}, {}, {}, {}, now };
+    Entry &entry =
+        this->entries.insert_or_assign(registration.endpoint.name, std::move(added)).first->second;
+    entry.hasAnnouncedLeaving = this->hasAnnouncedLeaving(registration);
+    this->applyColdTime(entry, now);
+    if (!this->departures.contains(nameHash, startStampOf(registration), now)) {
+        return EndpointChange::Kind::Added;
+    }
+    this->awaitConfirmation(entry, now);
+    return EndpointChange::Kind::Returned;
+}
+
+void EndpointSelector::awaitConfirmation(Entry &entry, core::Instant now)
+{
+    entry.isReturnUnconfirmed = true;
+    this->returnConfirmations.insert_or_assign(
+        entry.registration.endpoint.name,
+        ReturnConfirmation(this->policy.registrationLapseTime, now));
+}
+
+std::vector<EndpointChange> EndpointSelector::confirmReturns(core::Instant now)
+{
+    std::vector<EndpointChange> changes;
+    std::erase_if(this->returnConfirmations, [this, now, &changes](const auto &item) {
+        const auto &[name, confirmation] = item;
+        const auto found = this->entries.find(name);
+        if (found == this->entries.end() || !found->second.isReturnUnconfirmed) {
+            return true;
+        }
+        if (!confirmation.isConfirmed(now)) {
+            return false;
+        }
+        Entry &entry = found->second;
+        entry.isReturnUnconfirmed = false;
+        this->departures.remove(entry.nameHash);
+        changes.push_back({ EndpointChange::Kind::Confirmed, name, entry.registration.service,
+                            entry.registration.revision });
+        return true;
+    });
+    return changes;
+}
+
+std::vector<Departure> EndpointSelector::recentDepartures(core::Instant now) const
+{
+    return this->departures.recent(now);
+}
+
+void EndpointSelector::onDeparture(const Departure &departure, core::Instant now)
+{
+    Entry *entry = this->findByHash(departure.nameHash);
+    if (entry == nullptr) {
+        this->departures.add(departure, now);
+    } else if (startStampOf(entry->registration) == departure.startStamp
+               && !entry->isReturnUnconfirmed) {
+        this->awaitConfirmation(*entry, now);
+    }
+}
+
 void EndpointSelector::applyColdTime(Entry &entry, core::Instant now)
 {
     const RegisteredEndpoint &registration = entry.registration;
@@ -545,8 +617,8 @@
 {
     const settings::Endpoint &endpoint = entry.registration.endpoint;
     if (entry.registration.service != request.service || entry.registration.isLeaving
-        || entry.hasAnnouncedLeaving || entry.isMisdirected || now < entry.pausedUntil
-        || this->withdrawnDomains.contains(endpoint.domain)
+        || entry.hasAnnouncedLeaving || entry.isReturnUnconfirmed || entry.isMisdirected
+        || now < entry.pausedUntil || this->withdrawnDomains.contains(endpoint.domain)
         || std::ranges::find(request.excluded, endpoint.name) != request.excluded.end()) {
         return false;
     }
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -22,6 +22,7 @@
     UncountedEnded = 6, //!< like Ended, but a failure does not count against the service
     Leaving = 7, //!< an endpoint announced that it leaves; the account is its start stamp
     Belief = 8, //!< for a new host: the amount is a fault probability, the account the rate limit
+    Departed = 9, //!< for a new host: a registration was removed; the account is its start stamp
 };
 
 // A response is late after the typical latency times LateLatencyFactor plus LateMargin.
@@ -258,6 +259,11 @@
                               belief.startStamp, 0 });
         }
     }
+    for (const Departure &departure :
+         this->dependencies.selector.recentDepartures(this->dependencies.clock.now())) {
+        items.push_back({ static_cast<std::uint8_t>(GossipKind::Departed), 0, departure.nameHash,
+                          departure.startStamp, 0 });
+    }
     return items;
 }
 
@@ -283,6 +289,10 @@
     case GossipKind::Leaving:
         this->recordLeaving(item.subject, item.account, "gossip");
         return;
+    case GossipKind::Departed:
+        this->dependencies.selector.onDeparture({ item.subject, item.account },
+                                                this->dependencies.clock.now());
+        return;
     case GossipKind::Ended:
     case GossipKind::UncountedEnded:
         this->onRemoteEnd(item);
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -18,6 +18,7 @@
 #include "damaskgate/upstreams/endpointratelimit.h"
 #include "damaskgate/upstreams/faultestimator.h"
 #include "damaskgate/upstreams/hostranking.h"
+#include "damaskgate/upstreams/returnedstart.h"
 #include "damaskgate/upstreams/successrate.h"
 
 namespace damaskgate::upstreams {
@@ -34,6 +35,8 @@
     std::int64_t startedAtMillis = 0; //!< Unix time in ms; increases with each restart
     std::int64_t sequence = 0; //!< number of the endpoint's status report since its start
     std::uint64_t revision = 0; //!< the source's revision of this registration
+    /** The source's revision in which the registration was created; zero if it is not known. */
+    std::uint64_t createdRevision = 0;
 };
 
 /** A change to one endpoint between two lists of endpoints. */
@@ -45,6 +48,8 @@
         Leaving,
         Gone,
         Outdated, //!< the registration is older than the known one and is ignored
+        Returned, //!< a removed start is registered again; it gets no work until it is confirmed
+        Confirmed, //!< a start that had returned is used again
     };
 
     Kind kind = Kind::Added;
@@ -121,6 +126,9 @@
 
     /** Cost of using another failure domain; the cost of a failed request is 1. */
     double remoteDomainCost = 0.06;
+
+    /** Time without a report after which the source has removed a registration. */
+    core::Duration registrationLapseTime = std::chrono::seconds(5);
 };
 
 /** A chosen endpoint with the state that led to the choice, which is logged. */
@@ -168,6 +176,19 @@
     std::vector<EndpointChange> setEndpoints(std::span<const RegisteredEndpoint> endpoints,
                                              bool isSourceStable, core::Instant now);
 
+    /**
+     * Uses the endpoints again whose return is confirmed; see ReturnConfirmation.
+     *
+     * @return a change for each of them
+     */
+    std::vector<EndpointChange> confirmReturns(core::Instant now);
+
+    /** @return the recent departures, for a host that has just started. */
+    std::vector<Departure> recentDepartures(core::Instant now) const;
+
+    /** Records a departure that another host knows, from before the start of this host. */
+    void onDeparture(const Departure &departure, core::Instant now);
+
     /** @return an endpoint for @p request, or nothing if none can accept it. */
     std::optional<Choice> choose(const balance::WorkRequest &request, core::Instant now);
 
@@ -288,6 +309,7 @@
         bool isUnused = true; //!< no host is known to have sent it a request
         bool isMisdirected = false; //!< another endpoint uses its address
         bool hasAnnouncedLeaving = false; //!< see onLeaving()
+        bool isReturnUnconfirmed = false; //!< see ReturnConfirmation
         core::Instant pausedUntil {}; //!< see onPause()
         std::optional<EndpointRateLimit> rateLimit {}; //!< see onRateLimit()
     };
@@ -300,7 +322,12 @@
     };
 
     std::optional<EndpointChange::Kind> applyRegistration(const RegisteredEndpoint &registration,
-                                                          core::Instant now);
+                                                          bool isSourceStable, core::Instant now);
+    std::optional<EndpointChange::Kind> applyNextReport(Entry &entry,
+                                                        const RegisteredEndpoint &registration,
+                                                        bool isSourceStable, core::Instant now);
+    EndpointChange::Kind addEntry(const RegisteredEndpoint &registration, core::Instant now);
+    void awaitConfirmation(Entry &entry, core::Instant now);
 
     /** Result of one scan of all endpoints for a request. */
     struct Candidates
@@ -341,6 +368,9 @@
     std::map<std::uint32_t, Entry *> entriesByHash;
     /** Kept beyond the registration, which may be missing for a while and then return. */
     std::map<core::EndpointName, LeavingStart> leavingStarts;
+    DepartureTable departures;
+    /** Of the entries whose return is unconfirmed. */
+    std::map<core::EndpointName, ReturnConfirmation> returnConfirmations;
     bool isEndpointListSet = false;
 };
 
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -408,6 +408,27 @@
     EXPECT_EQ(sent["c"], 0);
 }
 
+// Guards against a host that has just started and takes a late report of an endpoint that has left
+// for a new registration.
+TEST_F(FleetBalancer_Tests, OnGossipItem_SnapshotAfterARemoval_LateReportIsNotUsed)
+{
+    // [GIVEN] A host that has seen the removal of an endpoint's registration
+    this->selector.setEndpoints({}, true, this->clock.now());
+
+    // [WHEN] Another host starts, gets the snapshot, and then a late report of the endpoint
+    FakeGossipChannel otherGossip;
+    EndpointSelector otherSelector { SelectionPolicy {}, core::DomainName(), 2 };
+    const FleetBalancer other { { this->clock, this->events, otherGossip, otherSelector,
+                                  this->admission, this->retries } };
+    for (const fleet::GossipItem &item : this->gossip.snapshotSource()) {
+        otherGossip.listener(item);
+    }
+    otherSelector.setEndpoints({ &this->endpoint, 1 }, true, this->clock.now());
+
+    // [THEN] It does not use the endpoint
+    EXPECT_FALSE(otherSelector.choose(this->request, this->clock.now()));
+}
+
 TEST_F(FleetBalancer_Tests, OnGossipItem_SnapshotAfterAnOutcome_ChangesNothing)
 {
     // [GIVEN] An endpoint at which this host has seen a success
