mirror: readers in two failure domains, and replaced without waiting for lost hosts

Cause: the two hosts with the largest CPU quota read the source, here in one domain. Their silence was noticed after 1.3 s, by ticks of 0.25 s, and then each host waited 50 ms for each higher-ranked one, the lost ones included.

Change: the readers are the first hosts of two domains, so the loss of a domain leaves one. Ticks come when a decision or an announcement is due. Hosts that stop are no candidates, and lost hosts no longer count among those that pull across domains.

--- a/src/mirror/include/damaskgate/mirror/mirrorservice.h
+++ b/src/mirror/include/damaskgate/mirror/mirrorservice.h
@@ -99,7 +99,7 @@
     void scheduleTick(std::chrono::milliseconds delay);
     void tick();
     std::vector<ReaderCandidate> otherHosts(core::Instant now) const;
-    std::vector<ReaderCandidate> localHosts(std::vector<ReaderCandidate> hosts) const;
+    std::chrono::milliseconds timeToNextTick() const;
     void updateReachability(core::Instant now);
 
     boost::asio::io_context &context;
--- a/src/mirror/mirrorservice.cpp
+++ b/src/mirror/mirrorservice.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval { 250 };
+constexpr std::chrono::milliseconds MinTickInterval { 20 };
 // Gives the fleet time to discover the other hosts before the first election.
 constexpr std::chrono::milliseconds StartDelay { 120 };
 // An idle watch ends after this time, which limits the age of the last contact with the source.
@@ -78,7 +79,7 @@
                              std::uint8_t corePercent, core::Duration maxSourceGap)
     : context(dependencies.context), clock(dependencies.clock), events(dependencies.events),
       fleet(dependencies.fleet), source(dependencies.source), peerPort(peerPort),
-      election(this->fleet.table().self(), corePercent),
+      election(this->fleet.table().self(), corePercent, this->fleet.table().ownDomain()),
       reachability(this->clock.now(), maxSourceGap),
       peerReader(this->context, { PeerTimeout, MaxReplyBytes, PeerTotalTimeout }),
       tickTimer(this->context), pauseTimer(this->context)
@@ -161,7 +162,7 @@
     this->tickTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error && !this->isStopped) {
             this->tick();
-            this->scheduleTick(TickInterval);
+            this->scheduleTick(this->timeToNextTick());
         }
     });
 }
@@ -171,7 +172,7 @@
     const core::Instant now = this->clock.now();
     this->updateReachability(now);
     const std::vector<ReaderCandidate> others = this->otherHosts(now);
-    this->pullPolicy.setPullingRemotely(this->election.rankAmong(this->localHosts(others))
+    this->pullPolicy.setPullingRemotely(this->election.localRankAmong(others)
                                         < PullPolicy::RemotePullers);
     this->startPullIfDue();
     if (this->isReading) {
@@ -188,13 +189,33 @@
     }
 }
 
+// The next tick comes early if an announcement or a decision is due before. Decisions are late by
+// up to MinTickInterval.
+std::chrono::milliseconds MirrorService::timeToNextTick() const
+{
+    const core::Instant now = this->clock.now();
+    const auto due = this->isReading ? std::optional(this->announcedAt + AnnounceInterval)
+                                     : this->election.nextDecisionAt();
+    if (!due) {
+        return TickInterval;
+    }
+    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(*due - now), MinTickInterval,
+                      TickInterval);
+}
+
+// A host that is about to stop is no candidate, so that its successor reads before it has stopped.
 std::vector<ReaderCandidate> MirrorService::otherHosts(core::Instant now) const
 {
     std::vector<ReaderCandidate> others;
     for (const fleet::Member *member : this->fleet.table().liveMembers(now)) {
+        if (member->state.isLeaving) {
+            continue;
+        }
         ReaderCandidate &view = others.emplace_back();
         view.name = member->name;
         view.corePercent = member->state.corePercent;
+        view.domain = member->state.domain;
+        view.silence = now - member->lastContactAt;
         const auto seen = this->sourceReachedAtByHost.find(member->name);
         if (seen != this->sourceReachedAtByHost.end()) {
             view.sourceReachedAt = seen->second;
@@ -203,12 +224,6 @@
     return others;
 }
 
-std::vector<ReaderCandidate> MirrorService::localHosts(std::vector<ReaderCandidate> hosts) const
-{
-    std::erase_if(hosts, [this](const ReaderCandidate &host) { return !this->isLocal(host.name); });
-    return hosts;
-}
-
 void MirrorService::updateReachability(core::Instant now)
 {
     const auto isRecent = [now](const auto &item) {
--- a/src/mirror/tests/readerelection_test.cpp
+++ b/src/mirror/tests/readerelection_test.cpp
@@ -1,3 +1,7 @@
+#include <map>
+#include <set>
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "damaskgate/core/hash.h"
@@ -101,4 +105,227 @@
     EXPECT_TRUE(election.shouldRead({}, this->now));
 }
 
+/** Hosts of several failure domains, all of which are lost at the same time. */
+class LostReaders_Tests : public testing::Test
+{
+protected:
+    struct Host
+    {
+        std::string name;
+        std::string domain;
+        std::uint8_t corePercent = 20;
+    };
+
+    void addHosts(const std::string &domain, int count, std::uint8_t corePercent)
+    {
+        for (int number = 0; number < count; ++number) {
+            this->hosts.push_back({ domain + std::to_string(number), domain, corePercent });
+        }
+    }
+
+    /** @return the hosts that read while all hosts live, which is also when they are first heard.
+     */
+    std::set<std::string> readers()
+    {
+        std::set<std::string> reading;
+        // Each host sees the readers that were elected before it.
+        for (int round = 0; round < 3; ++round) {
+            std::set<std::string> next;
+            for (const Host &host : this->hosts) {
+                ReaderElection election(core::HostName(host.name), host.corePercent,
+                                        core::DomainName(host.domain));
+                if (election.shouldRead(this->others(host, reading, {}, this->now), this->now)) {
+                    next.insert(host.name);
+                }
+            }
+            reading = next;
+        }
+        return reading;
+    }
+
+    /** @return what @p host knows at @p at, if the hosts @p lost have been silent since `now`. */
+    std::vector<ReaderCandidate> others(const Host &host, const std::set<std::string> &reading,
+                                        const std::set<std::string> &lost, core::Instant at) const
+    {
+        std::vector<ReaderCandidate> others;
+        for (const Host &other : this->hosts) {
+            if (other.name == host.name) {
+                continue;
+            }
+            const core::Instant heardAt = lost.contains(other.name) ? this->now : at;
+            others.push_back({ core::HostName(other.name),
+                               reading.contains(other.name) ? std::optional(heardAt) : std::nullopt,
+                               other.corePercent, core::DomainName(other.domain), at - heardAt });
+        }
+        return others;
+    }
+
+    /** @return the time from the loss of @p lost until the first other host reads the source. */
+    core::Duration timeWithoutReader(const std::set<std::string> &lost)
+    {
+        const std::set<std::string> reading = this->readers();
+        std::map<std::string, ReaderElection> elections;
+        for (const Host &host : this->hosts) {
+            elections.emplace(host.name,
+                              ReaderElection(core::HostName(host.name), host.corePercent,
+                                             core::DomainName(host.domain)));
+        }
+        constexpr milliseconds Step { 25 };
+        for (core::Duration elapsed {}; elapsed < std::chrono::seconds(5); elapsed += Step) {
+            const core::Instant at = this->now + elapsed;
+            for (const Host &host : this->hosts) {
+                const bool isLost = lost.contains(host.name);
+                if (!isLost
+                    && elections.at(host.name).shouldRead(this->others(host, reading, lost, at),
+                                                          at)) {
+                    return elapsed;
+                }
+            }
+        }
+        return std::chrono::seconds(5);
+    }
+
+    std::set<std::string> hostsOf(const std::string &domain) const
+    {
+        std::set<std::string> names;
+        for (const Host &host : this->hosts) {
+            if (host.domain == domain) {
+                names.insert(host.name);
+            }
+        }
+        return names;
+    }
+
+    core::Instant now { std::chrono::hours(1) };
+    std::vector<Host> hosts;
+};
+
+// Guards against a failure domain whose loss takes all readers with it.
+TEST_F(LostReaders_Tests, ShouldRead_AllStrongHostsInOneDomain_ReadersAreInTwoDomains)
+{
+    // [GIVEN] A domain with all hosts of the largest CPU quota
+    this->addHosts("a", 16, 50);
+    this->addHosts("b", 3, 20);
+    this->addHosts("c", 3, 20);
+
+    // [THEN] One of the two readers is in another domain, so the loss of one leaves a reader
+    const std::set<std::string> reading = this->readers();
+    EXPECT_EQ(reading.size(), ReaderElection::TargetReaderCount);
+    for (const char *domain : { "a", "b", "c" }) {
+        EXPECT_EQ(this->timeWithoutReader(this->hostsOf(domain)), core::Duration::zero()) << domain;
+    }
+}
+
+// Guards against settings that are late, because the hosts that are left wait for lost ones. The
+// settings must be in force 2 s after a change; the hosts need the rest to distribute them.
+TEST_F(LostReaders_Tests, ShouldRead_ReadersAndAllStrongHostsLost_IsReplacedInTime)
+{
+    constexpr milliseconds Allowed { 1450 };
+    for (const int strongPerDomain : { 1, 5, 16 }) {
+        for (const int weakPerDomain : { 1, 12 }) {
+            SCOPED_TRACE(std::to_string(strongPerDomain) + "+" + std::to_string(weakPerDomain));
+
+            // [GIVEN] Three failure domains with strong and weak hosts
+            this->hosts.clear();
+            std::set<std::string> strong;
+            for (const std::string domain : { "a", "b", "c" }) {
+                this->addHosts(domain + "-strong", strongPerDomain, 50);
+                this->addHosts(domain + "-weak", weakPerDomain, 20);
+            }
+            for (Host &host : this->hosts) {
+                host.domain = host.domain.substr(0, 1);
+                if (host.corePercent == 50) {
+                    strong.insert(host.name);
+                }
+            }
+
+            // [WHEN] All strong hosts are lost, or both readers only
+            // [THEN] Another host reads the source soon
+            EXPECT_LE(this->timeWithoutReader(strong), Allowed);
+            EXPECT_LE(this->timeWithoutReader(this->readers()), milliseconds(1000));
+        }
+    }
+}
+
+TEST_F(LostReaders_Tests, ShouldRead_ReadersCutOffFromTheSource_AreReplacedInTime)
+{
+    for (const std::vector<std::string> &domains :
+         std::vector<std::vector<std::string>> { { "a" }, { "a", "b" }, { "a", "b", "c" } }) {
+        SCOPED_TRACE(domains.size());
+
+        // [GIVEN] Readers that no longer reach the source, but are heard by the others
+        this->hosts.clear();
+        for (const std::string &domain : domains) {
+            this->addHosts(domain, 6, 20);
+        }
+        const std::set<std::string> reading = this->readers();
+
+        // [WHEN] The contact with the source is older than MaxContactAge
+        const core::Instant agedAt = this->now + ReaderElection::MaxContactAge + milliseconds(1);
+        const core::Instant at = agedAt + milliseconds(250);
+        bool isRead = false;
+        for (const Host &host : this->hosts) {
+            ReaderElection election(core::HostName(host.name), host.corePercent,
+                                    core::DomainName(host.domain));
+            for (const core::Instant seenAt : { agedAt, at }) {
+                auto others = this->others(host, reading, reading, seenAt);
+                for (ReaderCandidate &other : others) {
+                    other.silence = core::Duration::zero();
+                }
+                isRead = election.shouldRead(others, seenAt) && !reading.contains(host.name)
+                    ? true
+                    : isRead;
+            }
+        }
+
+        // [THEN] Another host reads within 0.25 s
+        EXPECT_TRUE(isRead);
+    }
+}
+
+TEST_F(LostReaders_Tests, ShouldRead_OneReaderLost_FewHostsTakeOver)
+{
+    // [GIVEN] A fleet whose first reader is silent, while the second one is heard
+    for (const char *domain : { "a", "b", "c", "d", "e" }) {
+        this->addHosts(domain, 20, 20);
+    }
+    const std::set<std::string> reading = this->readers();
+    const std::set<std::string> lost { *reading.begin() };
+
+    // [WHEN] The time passes after which the next one takes over
+    const core::Instant at = this->now + ReaderElection::MaxReaderSilence + milliseconds(300);
+    std::size_t takingOver = 0;
+    for (const Host &host : this->hosts) {
+        if (reading.contains(host.name)) {
+            continue;
+        }
+        ReaderElection election(core::HostName(host.name), host.corePercent,
+                                core::DomainName(host.domain));
+        const core::Instant noticedAt =
+            this->now + ReaderElection::MaxReaderSilence + milliseconds(1);
+        election.shouldRead(this->others(host, reading, lost, noticedAt), noticedAt);
+        takingOver += election.shouldRead(this->others(host, reading, lost, at), at) ? 1U : 0U;
+    }
+
+    // [THEN] Not the whole fleet reads
+    EXPECT_GE(takingOver, 1U);
+    EXPECT_LE(takingOver, 3U);
+}
+
+TEST_F(LostReaders_Tests, NextDecisionAt_TwoReaders_IsWhenTheFirstOneCountsAsSilent)
+{
+    // [GIVEN] A host that has heard two readers, one of them 0.3 s ago
+    this->addHosts("a", 1, 20);
+    this->addHosts("b", 1, 50);
+    this->addHosts("c", 1, 50);
+    auto others = this->others(this->hosts.front(), { "b0", "c0" }, {}, this->now);
+    others.back().silence = milliseconds(300);
+    ReaderElection election(core::HostName("a0"), 20, core::DomainName("a"));
+
+    // [THEN] It decides again when that one counts as silent
+    EXPECT_FALSE(election.shouldRead(others, this->now));
+    EXPECT_EQ(election.nextDecisionAt(),
+              this->now + ReaderElection::MaxReaderSilence - milliseconds(300));
+}
+
 } // namespace damaskgate::mirror
