http: limit the undecoded bytes of a response and of a query

A report of other operators: a faulty endpoint sends bytes that are no answer without end, and its caller runs out of memory. Endpoints can't do that here: heads, chunk headers, trailers, interim responses and responses that are not forwarded are limited, and bodies are forwarded in parts. The tests of that get rows for bytes that are no HTTP, for trailers and for callers that do not read; they passed on the code as it was.

The same cause elsewhere: HttpReader, by which hosts read the source and each other, limited the decoded body only. A chunk header or trailer without end was kept, 67 MB in the new test, until a limit of seconds. QueryServer had the same gap for the queries of callers, for up to 30 s.

Change: both buffers are limited. HttpReader_Tests.Get_BytesWithoutEnd_AreNotKept and QueryServer_RequestWithoutEnd_IsCutOff failed before the change and pass with it.

--- a/src/entry/tests/faultyendpoint_test.cpp
+++ b/src/entry/tests/faultyendpoint_test.cpp
@@ -29,6 +29,7 @@
 };
 
 const EndlessCase EndlessCases[] {
+    { "NoResponse", "", 502 },
     { "FieldOfTheHead", "HTTP/1.1 200 OK\r\nX-A: ", 502 },
     { "StatusLine", "HTTP/1.1 200 ", 502 },
     { "BodyOfARefusal",
@@ -186,6 +187,45 @@
     EXPECT_TRUE(upstream.isClosedByPeer());
 }
 
+// Guards against the same by a trailer.
+TEST_F(FaultyEndpoint_Tests, Response_TrailerWithoutEnd_IsCutOff)
+{
+    // [WHEN] An endpoint completes a body and then sends a trailer without end
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: ");
+    const std::size_t sent = upstream.sendUntilBlocked(EndlessBytes);
+
+    // [THEN] The response ends incomplete, and the connection to the endpoint is closed
+    EXPECT_FALSE(caller.readResponse().isComplete);
+    EXPECT_LT(sent, EndlessBytes);
+    EXPECT_TRUE(upstream.isClosedByPeer());
+}
+
+// Guards against memory for a body without end that the caller does not read.
+TEST_F(FaultyEndpoint_Tests, Response_BodyWithoutEndToASlowCaller_HoldsTheEndpointBack)
+{
+    // [WHEN] An endpoint sends a body without end, and the caller reads only the head
+    this->start();
+    RawPeer caller = this->sendNew("POST /book/1");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 200 OK\r\n\r\n");
+    constexpr std::size_t Limit = 256UL * 1024 * 1024;
+    const std::size_t sent = upstream.sendUntilBlocked(Limit);
+
+    // [THEN] The endpoint can send only what the buffers of the connections hold
+    EXPECT_LT(sent, Limit);
+
+    // [WHEN] The caller leaves
+    caller.close();
+
+    // [THEN] The connection to the endpoint is closed
+    EXPECT_TRUE(upstream.isClosedByPeer());
+}
+
 // Guards against a retry that waits for the rest of the failure that it replaces.
 TEST_F(FaultyEndpoint_Tests, Retry_FailureWithoutEnd_IsNotWaitedFor)
 {
--- a/src/http/include/damaskgate/http/httpreader.h
+++ b/src/http/include/damaskgate/http/httpreader.h
@@ -58,8 +58,11 @@
     Options options;
     std::string address;
     std::uint16_t port = 0;
+    /** Limit of received bytes that are not decoded yet, such as an incomplete chunk header. */
+    static constexpr std::size_t MaxUnparsedBytes = 65536;
+
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer { MaxUnparsedBytes };
 };
 
 } // namespace damaskgate::http
--- a/src/http/queryserver.cpp
+++ b/src/http/queryserver.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds IdleTimeout { 30 };
 constexpr std::uint32_t MaxHeaderBytes { 8192 };
 constexpr std::uint64_t MaxBodyBytes { 1024 };
+// Limit of received bytes that are not decoded yet, such as an incomplete chunk header.
+constexpr std::size_t MaxUnparsedBytes { 16384 };
 
 using Request = beast::http::request<beast::http::string_body>;
 using Response = beast::http::response<beast::http::string_body>;
@@ -113,7 +115,7 @@
 
     beast::tcp_stream stream;
     std::shared_ptr<Impl> server;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { MaxUnparsedBytes };
     std::optional<beast::http::request_parser<beast::http::string_body>> parser;
     Response response;
 };
--- a/src/http/tests/httpreader_test.cpp
+++ b/src/http/tests/httpreader_test.cpp
@@ -1,6 +1,9 @@
 #include <optional>
+#include <string>
+#include <string_view>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -56,6 +59,57 @@
     std::chrono::milliseconds pause;
 };
 
+/** Sends a text and then zeros, until the peer closes the connection or Limit is reached. */
+class Flood
+{
+public:
+    static constexpr std::size_t Limit = 64UL * 1024 * 1024; // more than all buffers on the way
+
+    Flood(boost::asio::io_context &context, std::string head)
+        : socket(context), head(std::move(head)), zeros(65536, '0')
+    {}
+
+    void start()
+    {
+        boost::system::error_code error;
+        boost::asio::write(this->socket, boost::asio::buffer(this->head), error);
+        this->send();
+    }
+
+    std::size_t sentBytes() const
+    {
+        return this->sent;
+    }
+
+    bool isEnded() const
+    {
+        return this->hasEnded;
+    }
+
+    boost::asio::ip::tcp::socket socket;
+
+private:
+    void send()
+    {
+        this->socket.async_write_some(
+            boost::asio::buffer(this->zeros),
+            [this](const boost::system::error_code &error, std::size_t size) {
+                this->sent += size;
+                this->hasEnded = error || this->sent >= Limit;
+                if (!this->hasEnded) {
+                    this->send();
+                }
+            });
+    }
+
+    std::string head;
+    std::string zeros;
+    std::size_t sent = 0;
+    bool hasEnded = false;
+};
+
+constexpr std::string_view ChunkWithoutEnd = "Transfer-Encoding: chunked\r\n\r\n4;x=";
+
 } // namespace
 
 class HttpReader_Tests : public testing::Test
@@ -76,6 +130,9 @@
     }
 
     boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work {
+        this->context.get_executor()
+    };
     QueryServer server { this->context, [](const Query &query) {
                             return QueryResponse {
                                 200, "text/plain", std::string(parameterOf(query.parameters, "a"))
@@ -129,6 +186,67 @@
     EXPECT_LT(std::chrono::steady_clock::now() - startedAt, std::chrono::seconds(5));
 }
 
+// Guards against memory that grows with the bytes of a server that never completes a response.
+TEST_F(HttpReader_Tests, Get_BytesWithoutEnd_AreNotKept)
+{
+    const std::string okLine = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &head :
+         { std::string(), okLine + "X-A: ", okLine + "Content-Length: 99999999\r\n\r\n",
+           okLine + "\r\n", okLine + std::string(ChunkWithoutEnd),
+           okLine + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: " }) {
+        SCOPED_TRACE(head);
+
+        // [GIVEN] A server that sends bytes without end at some place of a response
+        boost::asio::ip::tcp::acceptor acceptor(this->context,
+                                                { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        Flood flood(this->context, head);
+        acceptor.async_accept(
+            flood.socket, [&flood](const boost::system::error_code & /*error*/) { flood.start(); });
+        HttpReader patient(this->context,
+                           { std::chrono::seconds(10), 1000, std::chrono::seconds(10) });
+        patient.setServer("127.0.0.1", acceptor.local_endpoint().port());
+
+        // [WHEN] It is asked
+        std::optional<core::Result<HttpResponse>> result;
+        boost::asio::co_spawn(
+            this->context, patient.get("/"),
+            [&result](const std::exception_ptr & /*error*/, core::Result<HttpResponse> value) {
+                result = std::move(value);
+            });
+        while (!result) {
+            this->context.run_one();
+        }
+
+        // [THEN] The response fails long before the time limit, and few bytes have been read
+        EXPECT_FALSE(*result);
+        EXPECT_LT(flood.sentBytes(), Flood::Limit);
+        while (!flood.isEnded()) {
+            this->context.run_one();
+        }
+    }
+}
+
+// Guards against the same by a client of a host's own query ports.
+TEST_F(HttpReader_Tests, QueryServer_RequestWithoutEnd_IsCutOff)
+{
+    const std::uint16_t port = this->server.listen("127.0.0.1", 0).value();
+    for (const std::string &head : { std::string("GET /"), std::string("GET / HTTP/1.1\r\nX-A: "),
+                                     "GET / HTTP/1.1\r\n" + std::string(ChunkWithoutEnd) }) {
+        SCOPED_TRACE(head);
+
+        // [WHEN] A client sends a request without end
+        Flood flood(this->context, head);
+        flood.socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        flood.start();
+        while (!flood.isEnded()) {
+            this->context.run_one();
+        }
+
+        // [THEN] The connection is closed after few bytes
+        EXPECT_LT(flood.sentBytes(), Flood::Limit);
+    }
+}
+
 TEST_F(HttpReader_Tests, Get_NoServer_Fails)
 {
     this->reader.setServer("127.0.0.1", 1);
