core, platform, mirror: limit what is kept of texts from outside

Cause: the parser's message holds the whole text that it could not read, here 1 MB. It went into the error that is kept with the registration and into a log line at each revision, of which the last 1,024 are kept, whatever their length. The copy of the source kept up to eight former values of each large item.

--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -44,6 +44,15 @@
     line += '"';
 }
 
+std::string limitValue(std::string_view value)
+{
+    constexpr std::string_view Ellipsis = "...";
+    return value.size() <= EventField::MaxValueBytes
+        ? std::string(value)
+        : std::string(value.substr(0, EventField::MaxValueBytes - Ellipsis.size()))
+            + std::string(Ellipsis);
+}
+
 std::string doubleToText(double value)
 {
     std::array<char, 32> buffer {};
@@ -53,7 +62,9 @@
 
 } // namespace
 
-EventField::EventField(std::string_view key, std::string_view value) : key(key), value(value) {}
+EventField::EventField(std::string_view key, std::string_view value)
+    : key(key), value(limitValue(value))
+{}
 
 EventField::EventField(std::string_view key, const char *value)
     : EventField(key, std::string_view(value))
--- a/src/core/include/damaskgate/core/event.h
+++ b/src/core/include/damaskgate/core/event.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,6 +11,10 @@
 /** One key=value pair of an event. */
 struct EventField
 {
+    /** Longer values are cut off, since lines are kept in memory and values may come from outside.
+     */
+    static constexpr std::size_t MaxValueBytes = 1024;
+
     EventField(std::string_view key, std::string_view value);
     EventField(std::string_view key, const char *value);
     EventField(std::string_view key, bool value);
--- a/src/core/tests/event_test.cpp
+++ b/src/core/tests/event_test.cpp
@@ -29,3 +29,14 @@
     // [THEN] The line break and the quotes are escaped, so the value stays one field
     EXPECT_EQ(line, "event=refused detail=\"a\\x0ab=\\\"c\\\"\"");
 }
+
+// Guards against memory that fills with lines of values from outside.
+TEST(Event_Tests, ToLine_LongValue_IsCutOff)
+{
+    // [GIVEN] A value with 1 MB of control characters, each of which is escaped as four
+    const Event event { "refused", { { "detail", std::string(1048576, '\x01') } } };
+
+    // [THEN] The line is limited
+    EXPECT_LT(toLine(event).size(), 5 * EventField::MaxValueBytes);
+    EXPECT_GE(toLine(event).size(), EventField::MaxValueBytes);
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -364,6 +364,9 @@
 
 void Gateway::Impl::logUnreadableItems(const std::vector<UnreadableItem> &items)
 {
+    std::erase_if(this->reportedRevisions, [&items](const auto &reported) {
+        return std::ranges::find(items, reported.first, &UnreadableItem::key) == items.end();
+    });
     for (const UnreadableItem &item : items) {
         std::uint64_t &reported = this->reportedRevisions[item.key];
         if (reported != item.revision) {
--- a/src/mirror/include/damaskgate/mirror/mirror.h
+++ b/src/mirror/include/damaskgate/mirror/mirror.h
@@ -36,6 +36,8 @@
     static constexpr std::size_t LargeValueBytes = 4096;
     /** Largest number of former values that are kept of an item. */
     static constexpr std::size_t MaxFormerValues = 8;
+    /** Limit of the former values of all items, in bytes. The oldest ones are discarded first. */
+    static constexpr std::size_t MaxFormerBytes = 8UL * 1024 * 1024;
 
     /**
      * @return the value that the item @p key had at its revision @p revision; nothing if it was not
@@ -71,6 +73,8 @@
     bool applyRemoval(const std::string &key, std::uint64_t revision);
     bool removeMissingItems(const Changes &snapshot);
     void keepFormer(const Item &item);
+    void discardOldestFormer();
+    void discardFormer(const std::string &key);
     void discardOldRemovals();
 
     std::uint64_t appliedRevision = 0;
@@ -80,6 +84,7 @@
     std::map<std::string, Item, std::less<>> itemsByKey;
     std::map<std::string, std::uint64_t, std::less<>> removalRevisions;
     std::map<std::string, std::deque<Item>, std::less<>> formerItems; //!< large ones, oldest first
+    std::size_t formerBytes = 0; //!< size of all values in formerItems
 };
 
 } // namespace damaskgate::mirror
--- a/src/mirror/mirror.cpp
+++ b/src/mirror/mirror.cpp
@@ -88,9 +88,37 @@
     }
     std::deque<Item> &former = this->formerItems[item.key];
     former.push_back(item);
+    this->formerBytes += item.value.size();
     if (former.size() > MaxFormerValues) {
+        this->formerBytes -= former.front().value.size();
         former.pop_front();
     }
+    while (this->formerBytes > MaxFormerBytes) {
+        this->discardOldestFormer();
+    }
+}
+
+void Mirror::discardOldestFormer()
+{
+    const auto oldest = std::ranges::min_element(
+        this->formerItems, {}, [](const auto &item) { return item.second.front().revision; });
+    this->formerBytes -= oldest->second.front().value.size();
+    oldest->second.pop_front();
+    if (oldest->second.empty()) {
+        this->formerItems.erase(oldest);
+    }
+}
+
+void Mirror::discardFormer(const std::string &key)
+{
+    const auto found = this->formerItems.find(key);
+    if (found == this->formerItems.end()) {
+        return;
+    }
+    for (const Item &item : found->second) {
+        this->formerBytes -= item.value.size();
+    }
+    this->formerItems.erase(found);
 }
 
 std::uint64_t Mirror::revision() const
@@ -155,7 +183,7 @@
         return false;
     }
     this->itemsByKey.erase(found);
-    this->formerItems.erase(key);
+    this->discardFormer(key);
     return true;
 }
 
--- a/src/mirror/tests/mirror_test.cpp
+++ b/src/mirror/tests/mirror_test.cpp
@@ -178,4 +178,45 @@
     EXPECT_FALSE(mirror.changesSince(revision - 10).isSnapshot);
 }
 
+// Guards against memory that grows with large items that another writer replaces.
+TEST(Mirror_Tests, Apply_ManyLargeItemsReplaced_FormerValuesAreLimited)
+{
+    // [GIVEN] Eight items of 1 MB, each of which is replaced ten times
+    constexpr std::uint64_t Items = 8;
+    constexpr std::uint64_t Rounds = 10;
+    constexpr std::size_t ValueBytes = 1000000;
+    Mirror mirror;
+    std::uint64_t revision = 0;
+    for (std::uint64_t round = 0; round < Rounds; ++round) {
+        for (std::uint64_t item = 0; item < Items; ++item) {
+            ++revision;
+            mirror.apply(
+                { revision,
+                  false,
+                  { { "large" + std::to_string(item), std::string(ValueBytes, 'x'), revision } },
+                  {} });
+        }
+    }
+
+    // [THEN] The latest former values are kept, within the limit for all items
+    std::size_t formerBytes = 0;
+    for (std::uint64_t former = 1; former <= revision - Items; ++former) {
+        const auto value = mirror.valueAt("large" + std::to_string((former - 1) % Items), former);
+        formerBytes += value ? value->size() : 0;
+    }
+    EXPECT_LE(formerBytes, Mirror::MaxFormerBytes);
+    EXPECT_GE(formerBytes, Mirror::MaxFormerBytes - ValueBytes);
+    EXPECT_TRUE(mirror.valueAt("large7", revision - Items));
+
+    // [WHEN] All items are removed
+    Changes removals { ++revision, false, {}, {} };
+    for (std::uint64_t item = 0; item < Items; ++item) {
+        removals.removals.push_back({ "large" + std::to_string(item), revision });
+    }
+    mirror.apply(removals);
+
+    // [THEN] Their former values are gone
+    EXPECT_FALSE(mirror.valueAt("large7", revision - 1 - Items));
+}
+
 } // namespace damaskgate::mirror
