--- a/src/upstreams/tests/returnedstart_test.cpp
+++ b/src/upstreams/tests/returnedstart_test.cpp
@@ -252,4 +252,23 @@
     }
 }
 
+// Guards against a host that has just started and reads a late report of an earlier start before it
+// is told of the departure.
+TEST_F(ReturnedStart_Tests, OnDeparture_AfterTheLateReportOfAnEarlierStart_EndpointGetsNothing)
+{
+    // [GIVEN] A host that has started and holds a late report of an earlier start
+    EndpointSelector started { SelectionPolicy {}, core::DomainName(), 3 };
+    RegisteredEndpoint former = this->report(30);
+    former.startedAtMillis = 500;
+    started.setEndpoints(std::vector { former, this->other }, true, this->now);
+
+    // [WHEN] Another host tells it of the departure of the later start
+    for (const Departure &departure : this->selector.recentDepartures(this->now)) {
+        started.onDeparture(departure, this->now);
+    }
+
+    // [THEN] The endpoint gets no requests
+    EXPECT_FALSE(isUsedBy(started, "a", this->now));
+}
+
 } // namespace damaskgate::upstreams
