entry, requestlog: tell attempts that this host ended from those that the endpoint broke off

Both ended as upstream-failed with the detail "the endpoint sent no valid response header", so neither logs nor metrics could say whether a late response or a lost connection cost a caller its answer. request-failed now has abandoned, total_ms, left_ms, draining and detail; the metrics damaskgate_attempts_abandoned_total and damaskgate_requests_abandoned_total count both sides of it.

No decision changes.

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -365,7 +365,8 @@
     this->result.report.latency = this->context.now() - this->sentAt;
     if (ec) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
-                   "the endpoint sent no valid response header");
+                   this->isAborted ? "this host ended the attempt before a response"
+                                   : "the endpoint sent no valid response header");
         co_return;
     }
     const bool isShedResponse = isShed(this->parser->get(), this->dialect());
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -402,6 +402,7 @@
     this->onAbort = nullptr;
     if (*isAbandoned && result.error) {
         result.report.outcome = balance::Outcome::Timeout;
+        ++this->record.abandonedAttempts;
     }
     this->verdict = core::combine(this->verdict, result.verdict);
     this->upstreamStatus = result.status;
@@ -521,6 +522,7 @@
     error.verdict = core::combine(error.verdict, this->verdict);
     this->record.reason = error.reason;
     this->record.verdict = error.verdict;
+    this->record.detail = error.detail;
     if (this->isResponseStarted) {
         this->caller->close(true);
         co_return false;
@@ -570,19 +572,30 @@
         this->record.verdict = core::Verdict::Ran;
     }
     this->record.isCancelled = this->abortCause == AbortCause::CallerDisconnected;
-    this->record.total = this->context.now() - this->startedAt;
+    const core::Instant now = this->context.now();
+    this->record.total = now - this->startedAt;
+    this->record.left = std::max(this->plan.deadline - now, core::Duration::zero());
     this->context.dependencies.observer.onRequestFinished(this->record);
     const bool isUncertain = this->record.reason && this->verdict != core::Verdict::NotRun;
     if (!isUncertain) {
         return;
     }
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto total = duration_cast<milliseconds>(this->record.total);
+    const auto left = duration_cast<milliseconds>(this->record.left);
     this->context.dependencies.events.record({ "request-failed",
                                                { { "trace", this->record.traceId },
                                                  { "route", this->record.route.text() },
                                                  { "workspace", this->record.workspace.text() },
                                                  { "reason", core::toText(*this->record.reason) },
                                                  { "verdict", core::toText(this->record.verdict) },
-                                                 { "attempts", this->record.attempts } } });
+                                                 { "attempts", this->record.attempts },
+                                                 { "abandoned", this->record.abandonedAttempts },
+                                                 { "total_ms", total.count() },
+                                                 { "left_ms", left.count() },
+                                                 { "draining", this->context.isKeepAliveDisabled },
+                                                 { "detail", this->record.detail } } });
 }
 
 } // namespace damaskgate::entry
--- a/src/requestlog/include/damaskgate/requestlog/requestrecorder.h
+++ b/src/requestlog/include/damaskgate/requestlog/requestrecorder.h
@@ -35,6 +35,8 @@
     metrics::Registry &registry;
     core::IEventSink &events;
     metrics::Counter &cancelled;
+    metrics::Counter &abandonedAttempts;
+    metrics::Counter &abandonedRequests;
     std::map<core::ServiceName, ServiceMetrics> services;
 };
 
--- a/src/requestlog/requestrecorder.cpp
+++ b/src/requestlog/requestrecorder.cpp
@@ -17,7 +17,12 @@
 RequestRecorder::RequestRecorder(metrics::Registry &registry, core::IEventSink &events)
     : registry(registry), events(events),
       cancelled(registry.counter("damaskgate_requests_cancelled_total",
-                                 "Requests whose caller left before the whole answer"))
+                                 "Requests whose caller left before the whole answer")),
+      abandonedAttempts(registry.counter("damaskgate_attempts_abandoned_total",
+                                         "Attempts that this host ended before their response")),
+      abandonedRequests(
+          registry.counter("damaskgate_requests_abandoned_total",
+                           "Requests refused by this host after it had ended an attempt"))
 {}
 
 void RequestRecorder::onRequestFinished(const entry::RequestRecord &record)
@@ -25,6 +30,7 @@
     if (record.isCancelled) {
         this->cancelled.add();
     }
+    this->abandonedAttempts.add(record.abandonedAttempts);
     if (record.reason) {
         this->recordRefusal(record);
         return;
@@ -64,6 +70,9 @@
         .counter("damaskgate_requests_refused_total", "Requests refused by this host",
                  { { "reason", std::string(reason) }, { "verdict", std::string(verdict) } })
         .add();
+    if (record.abandonedAttempts > 0) {
+        this->abandonedRequests.add();
+    }
     this->events.record({ "request-refused",
                           { { "trace", record.traceId },
                             { "workspace", record.workspace.text() },
--- a/src/requestlog/tests/requestrecorder_test.cpp
+++ b/src/requestlog/tests/requestrecorder_test.cpp
@@ -50,4 +50,26 @@
     }
 }
 
+// Guards against requests refused after this host had ended an attempt that metrics do not tell
+// from those that an endpoint failed.
+TEST(RequestRecorder_Tests, OnRequestFinished_AttemptWasAbandoned_IsCounted)
+{
+    // [GIVEN] A request whose first attempt this host has ended
+    metrics::Registry registry;
+    RecordingSink sink;
+    RequestRecorder recorder(registry, sink);
+    entry::RequestRecord record;
+    record.abandonedAttempts = 1;
+
+    // [WHEN] One such request is answered by another endpoint and one is refused
+    recorder.onRequestFinished(record);
+    record.reason = core::Reason::UpstreamFailed;
+    recorder.onRequestFinished(record);
+
+    // [THEN] Both attempts are counted, and the request that was refused
+    const std::string text = registry.exposition();
+    EXPECT_NE(text.find("damaskgate_attempts_abandoned_total 2"), std::string::npos);
+    EXPECT_NE(text.find("damaskgate_requests_abandoned_total 1"), std::string::npos);
+}
+
 } // namespace damaskgate::requestlog
