upstreams, balance: grant a slot for a second attempt only where one is free

When a response is late, a host breaks off the attempt before it knows whether another endpoint takes the request, and callers got a 502 in place of the answer that would have come. A second attempt beside the first one needs a way to ask for room without a place in a queue.

WorkRequest::isSpeculative marks such a request. EndpointSelector::choose() grants it an endpoint only if that has fewer known requests in flight, over all hosts, than slots, has not shed a request within 300 ms and is not suspected; it is neither a probe nor kept for the floor of endpoints in use. Otherwise acquire() refuses it as not run and publishes nothing. In gossip it is a further attempt also if no endpoint is excluded, so that other hosts do not charge its workspace a second time.

What an endpoint is charged with did not change; the tests now say it: an answer after 9 s where 1 s is typical counts as a success; an attempt ended for another response is a failure above three times the typical latency, and no evidence up to that. Both fail-only and never-fail variants of classifyOutcome() broke the latter test.

--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -321,7 +321,7 @@
     }
     std::uniform_real_distribution<double> unit(0, 1);
     // A request that has already failed is not used as a probe.
-    const bool isFirst = request.excluded.empty();
+    const bool isFirst = request.excluded.empty() && !request.isSpeculative;
     const bool isForFloor = isFirst && found.idle != nullptr
         && unit(this->random)
             < std::max(this->policy.floorMinFraction, FloorFractionFactor * found.idleFraction);
@@ -360,7 +360,8 @@
     const std::optional<double> latencyRatio = this->typicalLatencyRatio(request);
     std::uniform_real_distribution<double> unit(0, 1);
     for (auto &[name, entry] : this->entries) {
-        if (!this->isUsable(entry, request, now)) {
+        const bool isWanted = !request.isSpeculative || this->hasFreeSlot(entry, now);
+        if (!isWanted || !this->isUsable(entry, request, now)) {
             continue;
         }
         ++usableCount;
@@ -682,6 +683,15 @@
     return cost;
 }
 
+// A request that another endpoint may still answer is not worth a place in a queue.
+bool EndpointSelector::hasFreeSlot(Entry &entry, core::Instant now) const
+{
+    this->expireLostRequests(entry, now);
+    return entry.inFlight.size() < std::max<std::size_t>(entry.registration.slots, 1)
+        && now >= entry.overloadedUntil
+        && entry.faultEstimator.faultProbability(now) <= this->policy.suspectThreshold;
+}
+
 // Returns the typical latency divided by the latency objective.
 std::optional<double>
 EndpointSelector::typicalLatencyRatio(const balance::WorkRequest &request) const
--- a/src/upstreams/fleetbalancer.cpp
+++ b/src/upstreams/fleetbalancer.cpp
@@ -99,7 +99,7 @@
     const std::uint64_t id = choice->grant.id;
     this->activeAttempts.emplace(id, ActiveAttempt { request, *choice });
     this->dependencies.selector.onStarted(endpointHash, 0, now);
-    const bool isFurtherAttempt = !request.excluded.empty();
+    const bool isFurtherAttempt = !request.excluded.empty() || request.isSpeculative;
     const std::uint32_t workspaceHash = isFurtherAttempt || request.workspace.isEmpty()
         ? 0
         : core::nameHash(request.workspace.text());
--- a/src/upstreams/tests/endpointselector_test.cpp
+++ b/src/upstreams/tests/endpointselector_test.cpp
@@ -374,4 +374,98 @@
               suspected / 2);
 }
 
+// Guards against a second attempt that queues behind other requests, where its caller waits longer
+// than at the endpoint that is at work.
+TEST_F(EndpointSelector_Tests, Choose_SpeculativeRequest_GetsAFreeSlotOnly)
+{
+    // [GIVEN] An endpoint that has one slot left, over the requests of all hosts
+    this->list({ endpoint("a") });
+    for (const std::uint32_t host : { 1U, 2U, 3U, 4U, 0U }) {
+        this->selector.onStarted(core::nameHash("a"), host, this->now);
+    }
+    this->request.isSpeculative = true;
+    EXPECT_EQ(this->chooseMany(20)["a"], 20);
+
+    // [WHEN] Another host takes the last slot
+    this->selector.onStarted(core::nameHash("a"), 5, this->now);
+
+    // [THEN] The endpoint takes no speculative request, while others may still queue there
+    EXPECT_EQ(this->chooseMany(20)["none"], 20);
+    this->request.isSpeculative = false;
+    EXPECT_EQ(this->chooseMany(20)["a"], 20);
+
+    // [WHEN] A slot becomes free
+    this->selector.onEnded(core::nameHash("a"), 5, balance::Outcome::Answered, this->now);
+
+    // [THEN] It takes speculative requests again
+    this->request.isSpeculative = true;
+    EXPECT_EQ(this->chooseMany(20)["a"], 20);
+}
+
+TEST_F(EndpointSelector_Tests, Choose_SpeculativeRequestAndAFullEndpoint_GoesWhereRoomIs)
+{
+    // [GIVEN] A full endpoint, which costs less than one of another failure domain
+    auto remote = endpoint("b");
+    remote.endpoint.domain = core::DomainName("south");
+    remote.slots = 1;
+    auto full = endpoint("a");
+    full.slots = 1;
+    this->list({ full, remote, endpoint("c") });
+    this->selector.onStarted(core::nameHash("a"), 1, this->now);
+
+    // [THEN] The second attempt goes to the other one, and not to the one that is at work on it
+    this->request.isSpeculative = true;
+    this->request.excluded = { core::EndpointName("c") };
+    EXPECT_EQ(this->chooseMany(20)["b"], 20);
+}
+
+// Guards against a second attempt that is shed at once by an endpoint that is known to be full.
+TEST_F(EndpointSelector_Tests, Choose_SpeculativeRequest_AvoidsAnEndpointThatHasShed)
+{
+    // [GIVEN] A sound endpoint that sheds one request
+    this->list({ endpoint("a") });
+    for (int i = 0; i < 20; ++i) {
+        this->end("a", balance::Outcome::Answered);
+    }
+    this->end("a", balance::Outcome::Shed);
+
+    // [THEN] It gets no speculative request for a time, while others may go there
+    EXPECT_EQ(this->chooseMany(20)["a"], 20);
+    this->request.isSpeculative = true;
+    this->now += milliseconds(299);
+    EXPECT_EQ(this->chooseMany(20)["none"], 20);
+    this->now += milliseconds(1);
+    EXPECT_EQ(this->chooseMany(20)["a"], 20);
+}
+
+TEST_F(EndpointSelector_Tests, Choose_SpeculativeRequest_AvoidsASuspectedEndpoint)
+{
+    // [GIVEN] A suspected endpoint with free slots
+    this->list({ endpoint("a") });
+    this->end("a", balance::Outcome::ServerError);
+    this->end("a", balance::Outcome::ServerError);
+
+    // [THEN] It gets other requests, but no speculative one
+    EXPECT_EQ(this->chooseMany(20)["a"], 20);
+    this->request.isSpeculative = true;
+    EXPECT_EQ(this->chooseMany(20)["none"], 20);
+}
+
+TEST_F(EndpointSelector_Tests, Choose_SpeculativeRequest_IsNoFloorPick)
+{
+    // [GIVEN] An endpoint of another failure domain that has been idle for a while
+    auto remote = endpoint("b");
+    remote.endpoint.domain = core::DomainName("south");
+    this->list({ endpoint("a"), remote });
+    this->end("b", balance::Outcome::Answered);
+    this->now += seconds(2);
+    this->end("a", balance::Outcome::Answered);
+    this->request.isRepeatable = true;
+    EXPECT_GT(this->chooseMany(200)["b"], 0);
+
+    // [THEN] Speculative requests do not keep it in use
+    this->request.isSpeculative = true;
+    EXPECT_EQ(this->chooseMany(200)["b"], 0);
+}
+
 } // namespace damaskgate::upstreams
--- a/src/upstreams/tests/fleetbalancer_test.cpp
+++ b/src/upstreams/tests/fleetbalancer_test.cpp
@@ -505,4 +505,109 @@
     EXPECT_EQ(result.error().verdict, core::Verdict::NotRun);
 }
 
+// Guards against a second attempt that waits at an endpoint, and that other hosts count.
+TEST_F(FleetBalancer_Tests, Acquire_SpeculativeRequestWithoutRoom_IsRefusedAsNotRun)
+{
+    // [GIVEN] An endpoint with one slot, which a request of another host takes
+    this->endpoint.slots = 1;
+    this->registerEndpoint();
+    this->request.isSpeculative = true;
+    this->selector.onStarted(core::nameHash("a"), 9, this->clock.now());
+
+    // [WHEN] This host asks for a slot for a second attempt
+    std::optional<core::Error> error;
+    this->balancer.acquire(this->request, [&error](const core::Result<balance::SlotGrant> &grant) {
+        if (!grant) {
+            error = grant.error();
+        }
+    });
+
+    // [THEN] It is refused as not run, and other hosts do not count an attempt
+    ASSERT_TRUE(error);
+    EXPECT_EQ(error->reason, core::Reason::NoEndpoint);
+    EXPECT_EQ(error->verdict, core::Verdict::NotRun);
+    EXPECT_TRUE(this->gossip.published.empty());
+
+    // [WHEN] The slot becomes free
+    this->selector.onEnded(core::nameHash("a"), 9, balance::Outcome::Answered, this->clock.now());
+
+    // [THEN] It is granted
+    EXPECT_TRUE(this->canAcquire());
+}
+
+// Guards against a workspace that other hosts charge twice for a request with two attempts.
+TEST_F(FleetBalancer_Tests, OnGossipItem_SpeculativeRetryWithoutExclusions_CountsAsARetry)
+{
+    // [GIVEN] A budget of one retry
+    ASSERT_TRUE(this->retries.hasRetry(this->request.service));
+
+    // [WHEN] Another host sends a second attempt beside the first one
+    this->request.isRetry = true;
+    this->request.isSpeculative = true;
+    this->acquire();
+    fleet::GossipItem item = this->gossip.published.front();
+    item.origin = 9;
+    this->gossip.listener(item);
+
+    // [THEN] The budget of this host is used up, and the workspace is not charged a second time
+    EXPECT_FALSE(this->retries.hasRetry(this->request.service));
+    EXPECT_EQ(item.account, 0U);
+}
+
+// Guards against suspicion of an endpoint whose late answer a request has waited for.
+TEST_F(FleetBalancer_Tests, Release_LateAnswer_CountsAsASuccess)
+{
+    // [GIVEN] A service with a typical latency of 1 s, and an endpoint that has failed once
+    this->selector.onLatency(this->request, std::chrono::seconds(1));
+    balance::ExchangeReport report;
+    report.outcome = balance::Outcome::ServerError;
+    this->balancer.release(this->acquire().id, report);
+    const double before =
+        *this->selector.faultProbabilityOf(core::EndpointName("a"), this->clock.now());
+
+    // [WHEN] It answers a request after 9 s
+    const auto grant = this->acquire();
+    report.outcome = balance::Outcome::Answered;
+    report.latency = std::chrono::seconds(9);
+    ASSERT_GT(report.latency, grant.lateThreshold);
+    this->balancer.release(grant.id, report);
+
+    // [THEN] It is less likely to be faulty, and other hosts learn of a success
+    EXPECT_LT(*this->selector.faultProbabilityOf(core::EndpointName("a"), this->clock.now()),
+              before);
+    EXPECT_EQ(this->gossip.published.back().amount,
+              static_cast<std::uint16_t>(balance::Outcome::Answered));
+}
+
+// Guards against suspicion of an endpoint that was only slower than the one that answered, and
+// against the opposite: an endpoint that hangs and is never suspected.
+TEST_F(FleetBalancer_Tests, Release_EndedForAnotherResponse_FailsOnlyAboveThreeTimesTheTypical)
+{
+    // [GIVEN] A service with a typical latency of 1 s
+    this->selector.onLatency(this->request, std::chrono::seconds(1));
+    const core::EndpointName name("a");
+    const double before = *this->selector.faultProbabilityOf(name, this->clock.now());
+
+    // [WHEN] An attempt is ended after three times that
+    balance::ExchangeReport report;
+    report.outcome = balance::Outcome::Timeout;
+    report.isRetried = true;
+    report.latency = std::chrono::seconds(3);
+    this->balancer.release(this->acquire().id, report);
+
+    // [THEN] It says nothing of the endpoint, here and at other hosts
+    EXPECT_DOUBLE_EQ(*this->selector.faultProbabilityOf(name, this->clock.now()), before);
+    EXPECT_EQ(this->gossip.published.back().amount,
+              static_cast<std::uint16_t>(balance::Outcome::Cancelled));
+
+    // [WHEN] One is ended after more than that
+    report.latency += std::chrono::milliseconds(1);
+    this->balancer.release(this->acquire().id, report);
+
+    // [THEN] It is a failure
+    EXPECT_GT(*this->selector.faultProbabilityOf(name, this->clock.now()), before);
+    EXPECT_EQ(this->gossip.published.back().amount,
+              static_cast<std::uint16_t>(balance::Outcome::Timeout));
+}
+
 } // namespace damaskgate::upstreams
