entry: an attempt whose response is late is given up only for a response that is ready

Callers of safe requests got a 502 of the host's own in place of the answer of an endpoint that was at work on their request, at any time and most near capacity.

Cause: when a response was late, the host aborted the attempt and only then looked for another endpoint. If none was granted, the retry budget was used meanwhile, or the second endpoint shed or failed, nothing was left to wait for.

The attempts of a request now form a group. A late response adds a second attempt at an endpoint with a free slot, beside the first; the first response that may be forwarded wins and the other connections are reset. An attempt that fails while another one is in progress ends alone. A second attempt that can't start, for want of an endpoint, a retry or unchanged settings, changes nothing for the first and is considered again after another late threshold. The balancer is told by WorkRequest::isSpeculative; a second request that it would queue is cancelled at once.

With it: - whether a server error is discarded is asked when it arrives, not when the attempt starts, since it depends on the other attempts then; - an attempt lets go of its connection when it ends, so that a later abort can't reach a request of another caller that has taken it from the pool; - the time at endpoints counts once where attempts overlap.

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -60,24 +60,35 @@
       exchangeId(++context.lastExchange)
 {}
 
-asio::awaitable<AttemptResult> Attempt::run(const settings::Endpoint &endpoint)
+asio::awaitable<void> Attempt::awaitResponse(const settings::Endpoint &endpoint)
 {
     this->endpointName = endpoint.name;
     error_code ec;
     const auto address = asio::ip::make_address(endpoint.address, ec);
     const asio::ip::tcp::endpoint remote(address, endpoint.port);
-    if (ec || !co_await this->connect(remote)) {
+    if (ec || this->isAborted || !co_await this->connect(remote)) {
         this->fail(core::Reason::UpstreamUnreachable, balance::Outcome::ConnectFailed,
                    "cannot connect to the endpoint");
-        co_return this->result;
-    }
-    if (co_await this->sendRequest()) {
+    } else if (co_await this->sendRequest()) {
         this->startBodyStream();
-        co_await this->handleResponse();
-        co_await this->finishBodyStream();
+        co_await this->receiveResponse();
+    }
+    if (this->currentResult.error) {
+        co_await this->finish();
     }
+    this->hasWaitEnded = true;
+}
+
+asio::awaitable<void> Attempt::forwardResponse()
+{
+    co_await this->streamResponse();
+    co_await this->finish();
+}
+
+asio::awaitable<void> Attempt::finish()
+{
+    co_await this->finishBodyStream();
     this->releaseConnection();
-    co_return this->result;
 }
 
 bool Attempt::isWaiting() const
@@ -85,14 +96,39 @@
     return !this->isHeadRead && !this->isAborted;
 }
 
+bool Attempt::hasEnded() const
+{
+    return this->hasWaitEnded;
+}
+
+bool Attempt::isReady() const
+{
+    return this->hasWaitEnded && !this->currentResult.error;
+}
+
+bool Attempt::isAbandoned() const
+{
+    return this->wasWaitingWhenAborted;
+}
+
+const AttemptResult &Attempt::result() const
+{
+    return this->currentResult;
+}
+
 void Attempt::abort()
 {
+    this->wasWaitingWhenAborted = this->wasWaitingWhenAborted || this->isWaiting();
     this->isAborted = true;
     if (this->connection) {
         this->connection->reset();
     }
-    if (this->result.isResponseStarted) {
+    if (this->currentResult.isResponseStarted) {
         this->caller.cancel();
+    } else if (this->isReady()) {
+        this->currentResult.error =
+            core::Error { core::Reason::UpstreamFailed, this->currentResult.verdict,
+                          "this host ended the attempt", std::nullopt };
     }
 }
 
@@ -102,7 +138,7 @@
     this->connection = this->context.pool.acquire(remote, this->context.now(), maxIdle);
     if (this->connection) {
         this->isReused = true;
-        co_return true;
+        co_return !this->isAborted;
     }
     this->connection = std::make_shared<UpstreamConnection>(this->context.ioContext.get_executor());
     this->connection->remote = remote;
@@ -155,15 +191,15 @@
     const std::array buffers { toBuffer(head), toBuffer(chunk), toBuffer(part),
                                toBuffer(isChunk ? "\r\n" : ""),
                                toBuffer(isLastChunk ? LastChunk : "") };
-    this->sentAt = this->context.now();
-    this->result.verdict = core::Verdict::MayHaveRun;
+    this->currentResult.sentAt = this->context.now();
+    this->currentResult.verdict = core::Verdict::MayHaveRun;
     const auto [ec, size] =
         co_await asio::async_write(this->connection->socket, buffers, WithError);
-    if (!ec) {
+    if (!ec && !this->isAborted) {
         co_return true;
     }
     if (size == 0) {
-        this->result.verdict = core::Verdict::NotRun;
+        this->currentResult.verdict = core::Verdict::NotRun;
         this->fail(core::Reason::UpstreamUnreachable, balance::Outcome::ConnectFailed,
                    "the connection closed before the request was written");
         co_return false;
@@ -228,6 +264,7 @@
         this->caller.cancel();
     }
     co_await this->bodyStreamEnd->wait();
+    this->bodyStreamEnd = nullptr;
 }
 
 asio::awaitable<error_code> Attempt::readResponseHead()
@@ -358,12 +395,12 @@
     return this->context.options.dialect;
 }
 
-asio::awaitable<void> Attempt::handleResponse()
+asio::awaitable<void> Attempt::receiveResponse()
 {
     const error_code ec = co_await this->readMatchingResponseHead();
     this->isHeadRead = true;
-    this->result.report.latency = this->context.now() - this->sentAt;
-    if (ec) {
+    this->currentResult.report.latency = this->context.now() - this->currentResult.sentAt;
+    if (ec || this->isAborted) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
                    this->isAborted ? "this host ended the attempt before a response"
                                    : "the endpoint sent no valid response header");
@@ -379,7 +416,7 @@
     }
     this->recordResponse();
     if (isShedResponse) {
-        this->result.verdict = core::Verdict::NotRun;
+        this->currentResult.verdict = core::Verdict::NotRun;
         const bool isMisdirected = this->parser->get().result_int() == MisdirectedStatus;
         this->fail(core::Reason::UpstreamShed,
                    isMisdirected ? balance::Outcome::Misdirected : balance::Outcome::Shed,
@@ -387,18 +424,17 @@
         co_await this->discardRest();
         co_return;
     }
-    this->result.verdict = core::Verdict::Ran;
-    if (this->plan.isFailureDiscarded && this->parser->get().result_int() >= ServerErrorStatus) {
+    this->currentResult.verdict = core::Verdict::Ran;
+    if (this->parser->get().result_int() >= ServerErrorStatus && this->plan.isFailureDiscarded()) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::ServerError,
                    "the endpoint returned a server error");
         co_await this->discardRest();
         co_return;
     }
-    this->result.status = static_cast<int>(this->parser->get().result_int());
-    co_await this->forwardResponse();
+    this->currentResult.status = static_cast<int>(this->parser->get().result_int());
 }
 
-asio::awaitable<void> Attempt::forwardResponse()
+asio::awaitable<void> Attempt::streamResponse()
 {
     const bool isHeadOnly = this->plan.isHead;
     this->framing = chooseFraming(*this->parser, isHeadOnly, this->plan.callerVersion);
@@ -411,7 +447,7 @@
     BodyReader<false> reader(this->connection->socket, this->connection->buffer, *this->parser);
     const auto space = std::make_unique_for_overwrite<char[]>(IoBufferSize);
     auto [ec, size] = reader.decode({ space.get(), IoBufferSize });
-    this->result.isResponseStarted = true;
+    this->currentResult.isResponseStarted = true;
     bool isSent = co_await this->sendResponsePart(head, { space.get(), size });
     while (isSent && !ec && !reader.isDone()) {
         std::tie(ec, size) = co_await reader.readSome({ space.get(), IoBufferSize });
@@ -428,7 +464,7 @@
                    "the endpoint sent a truncated or malformed response");
         co_return;
     }
-    this->result.isKeepAlive = !isClosing;
+    this->currentResult.isKeepAlive = !isClosing;
 }
 
 asio::awaitable<bool> Attempt::sendResponsePart(std::string_view head, std::string_view part)
@@ -447,33 +483,38 @@
 void Attempt::recordResponse()
 {
     const bool isServerError = this->parser->get().result_int() >= ServerErrorStatus;
-    this->result.report.outcome =
+    this->currentResult.report.outcome =
         isServerError ? balance::Outcome::ServerError : balance::Outcome::Answered;
-    this->result.report.load = readLoad(this->parser->get(), this->dialect());
-    this->result.report.notice = readNotice(this->parser->get(), this->dialect());
+    this->currentResult.report.load = readLoad(this->parser->get(), this->dialect());
+    this->currentResult.report.notice = readNotice(this->parser->get(), this->dialect());
 }
 
 // A connection is reused only if both sides have completed the exchange and no input is left.
 void Attempt::releaseConnection()
 {
-    const bool isResponseUsable = !this->result.error
-        || this->result.report.outcome == balance::Outcome::Shed
-        || this->result.report.outcome == balance::Outcome::ServerError;
+    if (!this->connection) {
+        return;
+    }
+    const bool isResponseUsable = !this->currentResult.error
+        || this->currentResult.report.outcome == balance::Outcome::Shed
+        || this->currentResult.report.outcome == balance::Outcome::ServerError;
     const bool isClean = isResponseUsable && !this->isAborted && this->isBodySent && this->parser
         && this->parser->is_done() && this->parser->keep_alive()
         && this->connection->buffer.size() == 0 && this->connection->socket.is_open();
+    // From here on the connection may serve another request, which abort() must not reach.
+    const UpstreamConnectionPtr released = std::exchange(this->connection, nullptr);
     if (isClean) {
-        this->context.pool.release(this->connection, this->context.now());
+        this->context.pool.release(released, this->context.now());
         return;
     }
-    this->connection->reset();
+    released->reset();
 }
 
 void Attempt::fail(core::Reason reason, balance::Outcome outcome, std::string detail)
 {
-    this->result.error =
-        core::Error { reason, this->result.verdict, std::move(detail), std::nullopt };
-    this->result.report.outcome = outcome;
+    this->currentResult.error =
+        core::Error { reason, this->currentResult.verdict, std::move(detail), std::nullopt };
+    this->currentResult.report.outcome = outcome;
 }
 
 } // namespace damaskgate::entry
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -34,7 +34,8 @@
     unsigned callerVersion = 11;
     bool isHead = false;
     bool isRepeatable = true;
-    bool isFailureDiscarded = false; //!< server errors are retried, not forwarded
+    /** Whether a server error that arrives now is discarded, since another answer may follow. */
+    std::function<bool()> isFailureDiscarded;
     bool isClosing = false; //!< the caller's connection closes after the response
 };
 
@@ -43,6 +44,7 @@
 {
     std::optional<core::Error> error; //!< empty if the complete response was sent to the caller
     balance::ExchangeReport report;
+    core::Instant sentAt; //!< the latency in the report counts from here
     core::Verdict verdict = core::Verdict::NotRun;
     int status = 0; //!< status of the forwarded response; zero if there was none
     bool isResponseStarted = false; //!< a part of the response was sent to the caller
@@ -58,13 +60,34 @@
     Attempt(EntryContext &context, CallerConnection &caller, RequestBody &body,
             const ForwardPlan &plan, AbortHandler onAbort);
 
-    /** Forwards the request to @p endpoint and the response to the caller. */
-    asio::awaitable<AttemptResult> run(const settings::Endpoint &endpoint);
+    /**
+     * Sends the request to @p endpoint and waits for a response. Afterwards either the response is
+     * ready or the result has an error.
+     */
+    asio::awaitable<void> awaitResponse(const settings::Endpoint &endpoint);
+
+    /** Forwards the response, which must be ready, to the caller. */
+    asio::awaitable<void> forwardResponse();
+
+    /** Ends a body stream and gives up the connection; for a response that is not forwarded. */
+    asio::awaitable<void> finish();
 
     /** @return whether the response header is outstanding and the attempt is not aborted. */
     bool isWaiting() const;
 
-    /** Aborts the exchange; run() then returns without further waiting. */
+    /** @return whether awaitResponse() has ended. */
+    bool hasEnded() const;
+
+    /** @return whether a response can be forwarded to the caller. */
+    bool isReady() const;
+
+    /** @return whether the attempt was aborted while the response header was outstanding. */
+    bool isAbandoned() const;
+
+    /** @return the result so far; final when an error is set or the response was forwarded. */
+    const AttemptResult &result() const;
+
+    /** Aborts the exchange at any time; the coroutines then return without further waiting. */
     void abort();
 
 private:
@@ -85,8 +108,8 @@
     bool isMatchingResponse() const;
     bool isAttributable() const;
     bool hasRequiredSignature() const;
-    asio::awaitable<void> handleResponse();
-    asio::awaitable<void> forwardResponse();
+    asio::awaitable<void> receiveResponse();
+    asio::awaitable<void> streamResponse();
     asio::awaitable<bool> sendResponsePart(std::string_view head, std::string_view part);
     void recordResponse();
     void releaseConnection();
@@ -98,18 +121,19 @@
     const ForwardPlan &plan;
     AbortHandler onAbort;
 
-    UpstreamConnectionPtr connection;
+    UpstreamConnectionPtr connection; //!< null before connect() and after finish()
     core::EndpointName endpointName;
     std::optional<ResponseParser> parser;
     ResponseFraming framing = ResponseFraming::None;
     std::uint64_t exchangeId = 0;
-    core::Instant sentAt;
     OneShotPtr<bool> bodyStreamEnd; //!< null if no body is streamed
     bool isAborted = false;
+    bool wasWaitingWhenAborted = false;
+    bool hasWaitEnded = false; //!< awaitResponse() has ended
     bool isReused = false; //!< the connection has served earlier exchanges
     bool isBodySent = false;
     bool isHeadRead = false; //!< reading the response header has ended
-    AttemptResult result;
+    AttemptResult currentResult;
 };
 
 } // namespace damaskgate::entry
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -49,9 +49,12 @@
 Exchange::Exchange(EntryContext &context, std::shared_ptr<CallerConnection> caller,
                    RequestParser &parser, bool isClosing)
     : context(context), caller(std::move(caller)), parser(parser), body(*this->caller, parser),
-      startedAt(context.now()), deadlineTimer(context.ioContext)
+      startedAt(context.now()), attempts(context), deadlineTimer(context.ioContext)
 {
     this->plan.isClosing = isClosing;
+    this->plan.isFailureDiscarded = [this] {
+        return this->isFailureDiscarded();
+    };
     ++this->context.exchanges;
 }
 
@@ -79,6 +82,7 @@
         return;
     }
     this->abortCause = cause;
+    this->attempts.abort();
     if (this->onAbort) {
         this->onAbort();
     }
@@ -261,43 +265,170 @@
 {
     this->context.retryBudget().onRequest(this->service);
     std::optional<core::Error> lastError;
-    std::size_t attempts = 1;
     while (true) {
-        if (Step still = this->recheck(); !still) {
-            co_return still;
-        }
-        const auto grant = co_await this->acquire(attempts > 1);
-        if (!grant) {
-            co_return tl::unexpected(lastError.value_or(grant.error()));
-        }
-        SlotGuard slot(this->context.dependencies.balancer, grant->id);
-        this->grantedService = this->service;
-        if (Step still = this->recheck(); !still) {
-            co_return still;
+        if (this->attempts.active().empty()) {
+            if (Step started = co_await this->startAttempt(lastError); !started) {
+                co_return started;
+            }
         }
-        this->grantedService = {};
-        this->record.attempts = static_cast<std::uint32_t>(attempts);
-        this->plan.isFailureDiscarded = this->isRepeatable() && this->canSendAgain(attempts);
-        AttemptResult result = co_await this->tryEndpoint(*grant);
-        this->setAbortOutcome(result);
-        slot.setReport(result.report);
-        if (!result.error) {
-            co_return Step {};
+        ActiveAttempt ended = co_await this->nextEnded();
+        if (ended.attempt->isReady()) {
+            co_return co_await this->deliver(std::move(ended));
         }
+        co_await ended.attempt->finish();
+        this->recordResult(ended);
+        const bool isLast = this->attempts.active().empty();
         if (this->abortCause != AbortCause::None) {
-            co_return tl::unexpected(this->abortError());
+            if (isLast) {
+                co_return tl::unexpected(this->abortError());
+            }
+            continue;
         }
-        if (!this->mayRetry(result, attempts)) {
+        const AttemptResult &result = ended.attempt->result();
+        if (isLast && !this->mayRetry(result)) {
             co_return tl::unexpected(*result.error);
         }
-        slot.setRetried();
-        attempts += result.error->reason == core::Reason::UpstreamUnreachable ? 0 : 1;
+        ended.slot->setRetried();
         lastError = result.error;
-        this->failedEndpoints.push_back(grant->endpoint.name);
+        this->failedEndpoints.push_back(ended.endpoint);
+    }
+}
+
+asio::awaitable<Exchange::Step> Exchange::startAttempt(const std::optional<core::Error> &lastError)
+{
+    if (Step still = this->recheck(); !still) {
+        co_return still;
+    }
+    const auto grant = co_await this->acquire(false);
+    if (!grant) {
+        co_return tl::unexpected(lastError.value_or(grant.error()));
+    }
+    auto slot = std::make_unique<SlotGuard>(this->context.dependencies.balancer, grant->id);
+    this->grantedService = this->service;
+    Step still = this->recheck();
+    this->grantedService = {};
+    if (!still) {
+        co_return still;
+    }
+    this->launch(*grant, std::move(slot));
+    co_return Step {};
+}
+
+// The first attempt goes on, since its endpoint may be the only one that can respond in time.
+asio::awaitable<void> Exchange::startSecondAttempt()
+{
+    this->secondAttemptAskedAt = this->context.now();
+    if (!this->mayStartSecondAttempt()) {
+        co_return;
+    }
+    const auto grant = co_await this->acquire(true);
+    if (!grant) {
+        co_return;
+    }
+    auto slot = std::make_unique<SlotGuard>(this->context.dependencies.balancer, grant->id);
+    if (this->mayStartSecondAttempt() && this->context.retryBudget().tryConsume(this->service)) {
+        this->launch(*grant, std::move(slot));
+    }
+}
+
+// Settings that changed since the first attempt was sent may no longer allow the request.
+bool Exchange::mayStartSecondAttempt() const
+{
+    const std::span<const ActiveAttempt> active = this->attempts.active();
+    const IServingGate *gate = this->context.dependencies.servingGate;
+    return this->abortCause == AbortCause::None && active.size() == 1
+        && active.front().attempt->isWaiting() && this->body.isDone() && this->isRepeatable()
+        && this->canSendAgain() && this->failedEndpoints.size() + 1 < MaxEndpointsTried
+        && this->context.routes.current() == this->permission.index
+        && (gate == nullptr || gate->checkServing());
+}
+
+// A second attempt helps only if enough time is left for another endpoint to respond.
+std::optional<core::Instant> Exchange::secondAttemptTime() const
+{
+    const std::span<const ActiveAttempt> active = this->attempts.active();
+    if (active.size() != 1 || active.front().lateThreshold <= core::Duration::zero()
+        || !this->isRepeatable() || this->attemptCount >= this->maxAttempts()) {
+        return std::nullopt;
+    }
+    const core::Duration lateThreshold = active.front().lateThreshold;
+    const core::Instant at =
+        std::max(active.front().startedAt, this->secondAttemptAskedAt) + lateThreshold;
+    return at + lateThreshold < this->plan.deadline ? std::optional(at) : std::nullopt;
+}
+
+bool Exchange::isFailureDiscarded() const
+{
+    const auto mayRespond = [](const ActiveAttempt &active) {
+        return !active.attempt->result().error;
+    };
+    const bool isOnlyOne = std::ranges::count_if(this->attempts.active(), mayRespond) <= 1;
+    return !isOnlyOne || (this->isRepeatable() && this->canSendAgain());
+}
+
+void Exchange::launch(const balance::SlotGrant &grant, std::unique_ptr<SlotGuard> slot)
+{
+    ++this->attemptCount;
+    this->record.attempts =
+        std::max(this->record.attempts, static_cast<std::uint32_t>(this->attemptCount));
+    const auto onBroken = [weak = this->weak_from_this()](AbortCause cause) {
+        if (const auto self = weak.lock()) {
+            self->abort(cause);
+        }
+    };
+    auto attempt =
+        std::make_shared<Attempt>(this->context, *this->caller, this->body, this->plan, onBroken);
+    this->attempts.start({ std::move(attempt), std::move(slot), grant.endpoint.name,
+                           this->context.now(), grant.lateThreshold },
+                         grant.endpoint, this->shared_from_this());
+}
+
+// Waits until an attempt has ended. Adds a second one while the response to the first is late.
+asio::awaitable<ActiveAttempt> Exchange::nextEnded()
+{
+    while (true) {
+        auto ended = co_await this->attempts.next(this->secondAttemptTime());
+        if (ended) {
+            co_return std::move(*ended);
+        }
+        co_await this->startSecondAttempt();
+    }
+}
+
+asio::awaitable<Exchange::Step> Exchange::deliver(ActiveAttempt winner)
+{
+    const std::shared_ptr<Attempt> attempt = winner.attempt;
+    this->onAbort = [attempt] {
+        attempt->abort();
+    };
+    co_await this->abandonOthers();
+    if (attempt->isReady()) {
+        co_await attempt->forwardResponse();
+    } else {
+        co_await attempt->finish();
+    }
+    this->onAbort = nullptr;
+    this->recordResult(winner);
+    if (!attempt->result().error) {
+        co_return Step {};
+    }
+    co_return tl::unexpected(this->abortCause == AbortCause::None ? *attempt->result().error
+                                                                  : this->abortError());
+}
+
+// Waits for the end of the other attempts, since they refer to the parser and the body.
+asio::awaitable<void> Exchange::abandonOthers()
+{
+    this->attempts.abort();
+    while (!this->attempts.active().empty()) {
+        const auto other = co_await this->attempts.next(std::nullopt);
+        co_await other->attempt->finish();
+        this->recordResult(*other);
+        other->slot->setRetried();
     }
 }
 
-asio::awaitable<core::Result<balance::SlotGrant>> Exchange::acquire(bool isRetry)
+asio::awaitable<core::Result<balance::SlotGrant>> Exchange::acquire(bool isSpeculative)
 {
     using Grant = core::Result<balance::SlotGrant>;
     if (this->abortCause != AbortCause::None) {
@@ -313,13 +444,20 @@
     work.isDeferrable = route.isDeferrable;
     work.deadline = this->plan.deadline;
     work.excluded = this->failedEndpoints;
+    std::ranges::transform(this->attempts.active(), std::back_inserter(work.excluded),
+                           &ActiveAttempt::endpoint);
     work.traceId = this->record.traceId;
     work.route = route.name;
     work.latencyObjective = route.latencyObjective;
-    work.isRetry = isRetry;
+    work.isRetry = this->attemptCount > 0;
     work.isRepeatable = route.isRepeatable;
+    work.isSpeculative = isSpeculative;
     const std::uint64_t id =
         balancer.acquire(work, [decision](Grant grant) { decision->set(std::move(grant)); });
+    if (isSpeculative && !decision->isSet()) {
+        balancer.cancel(id);
+        decision->set(core::notRun(core::Reason::NoEndpoint, "no endpoint has a free slot"));
+    }
     this->onAbort = [this, &balancer, decision, id] {
         if (!decision->isSet()) {
             balancer.cancel(id);
@@ -374,60 +512,52 @@
                        "the route changed while the request was queued");
 }
 
-asio::awaitable<AttemptResult> Exchange::tryEndpoint(const balance::SlotGrant &grant)
+void Exchange::recordResult(const ActiveAttempt &ended)
 {
-    const auto onBroken = [weak = this->weak_from_this()](AbortCause cause) {
-        if (const auto self = weak.lock()) {
-            self->abort(cause);
-        }
-    };
-    const auto attempt =
-        std::make_shared<Attempt>(this->context, *this->caller, this->body, this->plan, onBroken);
-    this->onAbort = [attempt] {
-        attempt->abort();
-    };
-    const auto isAbandoned = std::make_shared<bool>(false);
-    asio::steady_timer lateTimer(this->context.ioContext);
-    if (this->mayAbandon(grant)) {
-        lateTimer.expires_after(grant.lateThreshold);
-        lateTimer.async_wait([attempt, isAbandoned](const error_code &ec) {
-            if (!ec && attempt->isWaiting()) {
-                *isAbandoned = true;
-                attempt->abort();
-            }
-        });
-    }
-    AttemptResult result = co_await attempt->run(grant.endpoint);
-    lateTimer.cancel();
-    this->onAbort = nullptr;
-    if (*isAbandoned && result.error) {
-        result.report.outcome = balance::Outcome::Timeout;
+    const AttemptResult &result = ended.attempt->result();
+    balance::ExchangeReport report = result.report;
+    if (ended.attempt->isAbandoned() && this->abortCause == AbortCause::None) {
+        const bool isLate = ended.lateThreshold > core::Duration::zero()
+            && this->context.now() - ended.startedAt >= ended.lateThreshold;
+        report.outcome = isLate ? balance::Outcome::Timeout : balance::Outcome::Cancelled;
         ++this->record.abandonedAttempts;
+    } else {
+        report.outcome = this->outcomeOf(result);
     }
+    ended.slot->setReport(report);
     this->verdict = core::combine(this->verdict, result.verdict);
     this->upstreamStatus = result.status;
     this->isResponseStarted = result.isResponseStarted;
     this->isKeepAlive = result.isKeepAlive;
-    this->record.upstream += result.report.latency;
-    co_return result;
+    if (result.error && result.error->reason == core::Reason::UpstreamUnreachable) {
+        --this->attemptCount;
+    }
+    this->recordTime(result);
 }
 
-// An attempt whose response is unusually late may be abandoned if enough time is left for another
-// endpoint to respond before the deadline.
-bool Exchange::mayAbandon(const balance::SlotGrant &grant) const
+// Time during which several attempts were in progress counts once.
+void Exchange::recordTime(const AttemptResult &result)
 {
-    const core::Instant until = this->context.now() + grant.lateThreshold * 2;
-    return this->plan.isFailureDiscarded && grant.lateThreshold > core::Duration::zero()
-        && until < this->plan.deadline;
+    const core::Duration latency = result.report.latency;
+    if (latency <= core::Duration::zero()) {
+        return;
+    }
+    const core::Instant until = result.sentAt + latency;
+    const core::Duration former = this->sentUntil - this->sentFrom;
+    const bool isTogether = result.sentAt < this->sentUntil;
+    this->sentFrom = isTogether ? std::min(this->sentFrom, result.sentAt) : result.sentAt;
+    this->sentUntil = isTogether ? std::max(this->sentUntil, until) : until;
+    this->record.upstream +=
+        this->sentUntil - this->sentFrom - (isTogether ? former : core::Duration::zero());
 }
 
-bool Exchange::mayRetry(const AttemptResult &result, std::size_t attempts)
+bool Exchange::mayRetry(const AttemptResult &result)
 {
     if (result.error->reason == core::Reason::UpstreamUnreachable) {
         // No endpoint received the request, so neither maxAttempts nor the retry budget applies.
         return this->body.isReplayable() && this->failedEndpoints.size() + 1 < MaxEndpointsTried;
     }
-    if (result.isResponseStarted || !this->canSendAgain(attempts)) {
+    if (result.isResponseStarted || !this->canSendAgain()) {
         return false;
     }
     const Dialect &dialect = this->context.options.dialect;
@@ -445,9 +575,9 @@
         && (route.isRepeatableByAnyMethod || isIdempotent(this->parser.get().method()));
 }
 
-bool Exchange::canSendAgain(std::size_t attempts) const
+bool Exchange::canSendAgain() const
 {
-    return this->body.isReplayable() && attempts < this->maxAttempts()
+    return this->body.isReplayable() && this->attemptCount < this->maxAttempts()
         && this->context.retryBudget().hasRetry(this->service);
 }
 
@@ -478,16 +608,16 @@
 
 // A short deadline set by the caller is no evidence against the endpoint. Only attempts that took
 // at least half of the route's timeout are reported as timeouts.
-void Exchange::setAbortOutcome(AttemptResult &result) const
+balance::Outcome Exchange::outcomeOf(const AttemptResult &result) const
 {
     if (this->abortCause == AbortCause::None || !result.error) {
-        return;
+        return result.report.outcome;
     }
     const bool isSent = result.report.outcome != balance::Outcome::Cancelled
         && result.verdict != core::Verdict::NotRun;
     const bool isLongWait = result.report.latency >= this->permission.route->timeout / 2;
     const bool isTimeout = this->abortCause == AbortCause::DeadlinePassed && isSent && isLongWait;
-    result.report.outcome = isTimeout ? balance::Outcome::Timeout : balance::Outcome::Cancelled;
+    return isTimeout ? balance::Outcome::Timeout : balance::Outcome::Cancelled;
 }
 
 core::Error Exchange::abortError() const
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "attempt.h"
+#include "attemptgroup.h"
 #include "checkedrequest.h"
 
 namespace damaskgate::entry {
@@ -44,16 +44,25 @@
     asio::awaitable<Step> admit();
     asio::awaitable<Step> readBody();
     asio::awaitable<Step> forward();
-    asio::awaitable<core::Result<balance::SlotGrant>> acquire(bool isRetry);
+    asio::awaitable<Step> startAttempt(const std::optional<core::Error> &lastError);
+    asio::awaitable<void> startSecondAttempt();
+    bool mayStartSecondAttempt() const;
+    std::optional<core::Instant> secondAttemptTime() const;
+    bool isFailureDiscarded() const;
+    void launch(const balance::SlotGrant &grant, std::unique_ptr<SlotGuard> slot);
+    asio::awaitable<ActiveAttempt> nextEnded();
+    asio::awaitable<Step> deliver(ActiveAttempt winner);
+    asio::awaitable<void> abandonOthers();
+    asio::awaitable<core::Result<balance::SlotGrant>> acquire(bool isSpeculative);
     Step recheck();
-    asio::awaitable<AttemptResult> tryEndpoint(const balance::SlotGrant &grant);
-    bool mayAbandon(const balance::SlotGrant &grant) const;
-    bool mayRetry(const AttemptResult &result, std::size_t attempts);
+    void recordResult(const ActiveAttempt &ended);
+    void recordTime(const AttemptResult &result);
+    bool mayRetry(const AttemptResult &result);
     bool isRepeatable() const;
-    bool canSendAgain(std::size_t attempts) const;
+    bool canSendAgain() const;
     std::size_t maxAttempts() const;
     void startDeadline();
-    void setAbortOutcome(AttemptResult &result) const;
+    balance::Outcome outcomeOf(const AttemptResult &result) const;
     core::Error abortError() const;
     asio::awaitable<bool> refuse(core::Error error);
     void endOperation();
@@ -72,6 +81,11 @@
     core::Instant startedAt;
     std::optional<operations::OperationId> operation;
     std::vector<core::EndpointName> failedEndpoints;
+    AttemptGroup attempts; //!< those that wait for a response
+    std::size_t attemptCount = 0; //!< attempts so far, without unreachable endpoints
+    core::Instant secondAttemptAskedAt; //!< when a second attempt was last considered
+    core::Instant sentFrom; //!< start of the time at endpoints that is not yet recorded
+    core::Instant sentUntil; //!< end of it
     asio::steady_timer deadlineTimer;
     std::function<void()> onAbort; //!< cancels the operation that run() waits for
     AbortCause abortCause = AbortCause::None;
