upstreams: take a departure for earlier starts of the endpoint as well

A host that had just started, had read a late report of an earlier start of an endpoint and was told of the departure of the later start afterwards went on to use the endpoint, which had left (DRAIN).

Cause: onDeparture() compared the starts for equality, while DepartureTable compares their order. A host that was told first held the endpoint back.

Change: both use Departure::covers(). A start that is newer than the departure is used as before. A return that was confirmed stays so if the departure is told again; before, it was held back for a second time.

Two new ones fail with the guard that each is for taken out (trial): with every start held back, OnDeparture_OfAnEarlierStart_NewStartIsUsed; with a confirmation that starts again for each item, before or after the return is confirmed, OnDeparture_ToldAgain_DoesNotExtendTheConfirmation.

--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -230,6 +230,7 @@
 void EndpointSelector::awaitConfirmation(Entry &entry, core::Instant now)
 {
     entry.isReturnUnconfirmed = true;
+    entry.isReturnConfirmed = false;
     this->returnConfirmations.insert_or_assign(
         entry.registration.endpoint.name,
         ReturnConfirmation(this->policy.registrationLapseTime, now));
@@ -249,6 +250,7 @@
         }
         Entry &entry = found->second;
         entry.isReturnUnconfirmed = false;
+        entry.isReturnConfirmed = true;
         this->departures.remove(entry.nameHash);
         changes.push_back({ EndpointChange::Kind::Confirmed, name, entry.registration.service,
                             entry.registration.revision });
@@ -267,8 +269,8 @@
     Entry *entry = this->findByHash(departure.nameHash);
     if (entry == nullptr) {
         this->departures.add(departure, now);
-    } else if (startStampOf(entry->registration) == departure.startStamp
-               && !entry->isReturnUnconfirmed) {
+    } else if (departure.covers(startStampOf(entry->registration)) && !entry->isReturnUnconfirmed
+               && !entry->isReturnConfirmed) {
         this->awaitConfirmation(*entry, now);
     }
 }
--- a/src/upstreams/include/damaskgate/upstreams/endpointselector.h
+++ b/src/upstreams/include/damaskgate/upstreams/endpointselector.h
@@ -310,6 +310,7 @@
         bool isMisdirected = false; //!< another endpoint uses its address
         bool hasAnnouncedLeaving = false; //!< see onLeaving()
         bool isReturnUnconfirmed = false; //!< see ReturnConfirmation
+        bool isReturnConfirmed = false; //!< repeated news of the departure says nothing
         core::Instant pausedUntil {}; //!< see onPause()
         std::optional<EndpointRateLimit> rateLimit {}; //!< see onRateLimit()
     };
--- a/src/upstreams/include/damaskgate/upstreams/returnedstart.h
+++ b/src/upstreams/include/damaskgate/upstreams/returnedstart.h
@@ -13,6 +13,9 @@
 {
     std::uint32_t nameHash = 0; //!< hash of the endpoint's name
     std::uint32_t startStamp = 0; //!< identifies the start; later starts have greater stamps
+
+    /** @return whether @p stamp is that of the departed start, or of an earlier one. */
+    bool covers(std::uint32_t stamp) const;
 };
 
 /**
--- a/src/upstreams/returnedstart.cpp
+++ b/src/upstreams/returnedstart.cpp
@@ -5,16 +5,12 @@
 
 namespace damaskgate::upstreams {
 
-namespace {
-
 // Stamps are the low bits of a time, so they are compared by their distance.
-bool isSameOrEarlier(std::uint32_t stamp, std::uint32_t other)
+bool Departure::covers(std::uint32_t stamp) const
 {
-    return static_cast<std::int32_t>(other - stamp) >= 0;
+    return static_cast<std::int32_t>(this->startStamp - stamp) >= 0;
 }
 
-} // namespace
-
 void DepartureTable::add(const Departure &departure, core::Instant now)
 {
     this->startsByNameHash.insert_or_assign(departure.nameHash,
@@ -31,7 +27,7 @@
 {
     const auto found = this->startsByNameHash.find(nameHash);
     return found != this->startsByNameHash.end() && now - found->second.removedAt <= Memory
-        && isSameOrEarlier(startStamp, found->second.startStamp);
+        && Departure { nameHash, found->second.startStamp }.covers(startStamp);
 }
 
 std::vector<Departure> DepartureTable::recent(core::Instant now) const
--- a/src/upstreams/tests/returnedstart_test.cpp
+++ b/src/upstreams/tests/returnedstart_test.cpp
@@ -271,4 +271,47 @@
     EXPECT_FALSE(isUsedBy(started, "a", this->now));
 }
 
+// Guards against holding back an endpoint that has started again since the departure.
+TEST_F(ReturnedStart_Tests, OnDeparture_OfAnEarlierStart_NewStartIsUsed)
+{
+    // [GIVEN] A host that has started and holds a later start than the departed one
+    EndpointSelector started { SelectionPolicy {}, core::DomainName(), 3 };
+    RegisteredEndpoint again = this->report(1);
+    again.startedAtMillis = 1001;
+    started.setEndpoints(std::vector { again, this->other }, true, this->now);
+
+    // [WHEN] Another host tells it of the departure of the earlier start
+    for (const Departure &departure : this->selector.recentDepartures(this->now)) {
+        started.onDeparture(departure, this->now);
+    }
+
+    // [THEN] The endpoint is used
+    EXPECT_TRUE(isUsedBy(started, "a", this->now));
+}
+
+// Guards against an endpoint that stays unused since several hosts tell of the same departure.
+TEST_F(ReturnedStart_Tests, OnDeparture_ToldAgain_DoesNotExtendTheConfirmation)
+{
+    for (const std::int64_t startedAtMillis : { 500, 1000 }) {
+        SCOPED_TRACE(startedAtMillis);
+
+        // [GIVEN] A host that has started and is told of a departure after it reads a report
+        EndpointSelector started { SelectionPolicy {}, core::DomainName(), 3 };
+        RegisteredEndpoint returned = this->report(17);
+        returned.startedAtMillis = startedAtMillis;
+        started.setEndpoints(std::vector { returned, this->other }, true, this->now);
+        const Departure departure = this->selector.recentDepartures(this->now).front();
+        started.onDeparture(departure, this->now);
+
+        // [WHEN] It is told again before the lapse time is over, and once more after that
+        started.onDeparture(departure, this->now + LapseTime - milliseconds(1));
+        EXPECT_FALSE(isUsedBy(started, "a", this->now + LapseTime - milliseconds(1)));
+        started.confirmReturns(this->now + LapseTime);
+        started.onDeparture(departure, this->now + LapseTime);
+
+        // [THEN] The endpoint, whose registration has not lapsed, is used
+        EXPECT_TRUE(isUsedBy(started, "a", this->now + LapseTime));
+    }
+}
+
 } // namespace damaskgate::upstreams
