--- a/src/upstreams/tests/endpointselector_test.cpp
+++ b/src/upstreams/tests/endpointselector_test.cpp
@@ -468,4 +468,28 @@
     EXPECT_EQ(this->chooseMany(200)["b"], 0);
 }
 
+// Guards against requests to an endpoint that leaves, if a host hears of it before it reads the
+// registration of that start.
+TEST_F(EndpointSelector_Tests, OnLeaving_StartThatIsNotListedYet_GetsNothing)
+{
+    for (const bool isEarlierStartHeld : { true, false }) {
+        SCOPED_TRACE(isEarlierStartHeld);
+
+        // [GIVEN] A host that holds an earlier start of an endpoint, or none
+        EndpointSelector other { SelectionPolicy {}, core::DomainName("north"), 3 };
+        if (isEarlierStartHeld) {
+            other.setEndpoints(std::vector { endpoint("a") }, true, this->now);
+        }
+
+        // [WHEN] Another host tells that a later start leaves, and then its registration is read
+        other.onLeaving(core::nameHash("a"), 2000, this->now);
+        auto leaving = endpoint("a", 2);
+        leaving.startedAtMillis = 2000;
+        other.setEndpoints(std::vector { leaving }, true, this->now);
+
+        // [THEN] The endpoint gets nothing
+        EXPECT_FALSE(other.choose(this->request, this->now));
+    }
+}
+
 } // namespace damaskgate::upstreams
--- a/src/upstreams/tests/returnedstart_test.cpp
+++ b/src/upstreams/tests/returnedstart_test.cpp
@@ -314,4 +314,20 @@
     }
 }
 
+// Guards against a departure that is forgotten once a late report of an earlier start has lapsed.
+TEST_F(ReturnedStart_Tests, SetEndpoints_LateReportsOfTwoStarts_EndpointGetsNothing)
+{
+    // [GIVEN] A late report of an earlier start, which has lapsed
+    RegisteredEndpoint former = this->report(30);
+    former.startedAtMillis = 500;
+    this->list({ former, this->other });
+    this->list({ this->other });
+
+    // [WHEN] A late report of the removed start follows
+    this->list({ this->report(17), this->other });
+
+    // [THEN] The endpoint gets no requests
+    EXPECT_FALSE(this->isUsed("a"));
+}
+
 } // namespace damaskgate::upstreams
