upstreams: grant second attempts at endpoints that were idle

The fault probability of an endpoint without outcomes drifts towards its long-term mean, 0.29, and passes the threshold of suspicion after some 3 s. Second attempts avoided such endpoints, so on a service with few requests none could start, and a request at a frozen endpoint would have waited for its deadline.

An endpoint is now avoided only if its last known request failed as well. The test fails without that condition (granted 0 of 20).

--- a/src/upstreams/endpointselector.cpp
+++ b/src/upstreams/endpointselector.cpp
@@ -689,9 +689,11 @@
 bool EndpointSelector::hasFreeSlot(Entry &entry, core::Instant now) const
 {
     this->expireLostRequests(entry, now);
+    // The estimate rises while an endpoint is idle, which is no reason to avoid it here.
+    const bool isSuspected = entry.hasLastRequestFailed
+        && entry.faultEstimator.faultProbability(now) > this->policy.suspectThreshold;
     return entry.inFlight.size() < std::max<std::size_t>(entry.registration.slots, 1)
-        && now >= entry.overloadedUntil
-        && entry.faultEstimator.faultProbability(now) <= this->policy.suspectThreshold;
+        && now >= entry.overloadedUntil && !isSuspected;
 }
 
 // Returns the typical latency divided by the latency objective.
--- a/src/upstreams/tests/endpointselector_test.cpp
+++ b/src/upstreams/tests/endpointselector_test.cpp
@@ -451,6 +451,20 @@
     EXPECT_EQ(this->chooseMany(20)["none"], 20);
 }
 
+// Guards against second attempts that never start, since the endpoints with free slots have been
+// idle.
+TEST_F(EndpointSelector_Tests, Choose_SpeculativeRequest_UsesAnIdleEndpoint)
+{
+    // [GIVEN] An endpoint that answered its last request a minute ago
+    this->list({ endpoint("a") });
+    this->end("a", balance::Outcome::Answered);
+    this->now += seconds(60);
+
+    // [THEN] It gets speculative requests
+    this->request.isSpeculative = true;
+    EXPECT_EQ(this->chooseMany(20)["a"], 20);
+}
+
 TEST_F(EndpointSelector_Tests, Choose_SpeculativeRequest_IsNoFloorPick)
 {
     // [GIVEN] An endpoint of another failure domain that has been idle for a while
