upstreams: keep the departure of a later start when a late report of an earlier one lapses

A start of an endpoint was removed, then a late report of an earlier start came and lapsed. Its departure replaced that of the later start, and a late report of the later start was taken for a new registration: the endpoint, which had left, got requests.

DepartureTable::add() now keeps the later start that it remembers. ReturnedStart_Tests.

--- a/src/upstreams/returnedstart.cpp
+++ b/src/upstreams/returnedstart.cpp
@@ -13,8 +13,10 @@
 
 void DepartureTable::add(const Departure &departure, core::Instant now)
 {
-    this->startsByNameHash.insert_or_assign(departure.nameHash,
-                                            RemovedStart { departure.startStamp, now });
+    // A late report of an earlier start may lapse after the later start was removed.
+    const bool isCovered = this->contains(departure.nameHash, departure.startStamp, now);
+    RemovedStart &start = this->startsByNameHash[departure.nameHash];
+    start = { isCovered ? start.startStamp : departure.startStamp, now };
 }
 
 void DepartureTable::remove(std::uint32_t nameHash)
