entry: tests of requests that are in progress at two endpoints

The fakes count retries out, close the serving gate and keep the requests to the balancer.

A failed attempt that waits to be collected no longer counts as abandoned when another one wins: its failure is reported. No test shows this one, since both must end within one turn of the event loop.

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -93,7 +93,7 @@
 
 bool Attempt::isWaiting() const
 {
-    return !this->isHeadRead && !this->isAborted;
+    return !this->isHeadRead && !this->isAborted && !this->currentResult.error;
 }
 
 bool Attempt::hasEnded() const
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -72,7 +72,7 @@
     /** Ends a body stream and gives up the connection; for a response that is not forwarded. */
     asio::awaitable<void> finish();
 
-    /** @return whether the response header is outstanding and the attempt is not aborted. */
+    /** @return whether the response header is outstanding; false once it failed or was aborted. */
     bool isWaiting() const;
 
     /** @return whether awaitResponse() has ended. */
--- a/src/entry/include/damaskgate/entry/irequestobserver.h
+++ b/src/entry/include/damaskgate/entry/irequestobserver.h
@@ -25,7 +25,7 @@
     std::uint32_t abandonedAttempts = 0; //!< ended by this host while the response was outstanding
     core::Duration admission {}; //!< waiting time for admission by rate and burst limits
     core::Duration queued {}; //!< waiting time for endpoint slots
-    core::Duration upstream {}; //!< time from sending to response header, sum over all attempts
+    core::Duration upstream {}; //!< time from sending to response header; overlaps count once
     core::Duration total {}; //!< time from complete request header to end of response
     core::Duration left {}; //!< time from the end of response to the deadline; zero if it passed
 };
--- a/src/entry/tests/entryfixture.cpp
+++ b/src/entry/tests/entryfixture.cpp
@@ -54,9 +54,9 @@
 
 void EntryFixture::start()
 {
-    const EntryDependencies dependencies { this->clock,    this->store,  this->admission,
-                                           this->balancer, this->events, this->lookup,
-                                           this->observer, nullptr };
+    const EntryDependencies dependencies { this->clock,    this->store,       this->admission,
+                                           this->balancer, this->events,      this->lookup,
+                                           this->observer, this->servingGate, this->retryBudget };
     this->server = std::make_unique<EntryServer>(this->ioContext, dependencies, this->options);
     this->port = this->server->listen("127.0.0.1", 0).value();
     this->thread = std::thread([this] { this->ioContext.run(); });
--- a/src/entry/tests/entryfixture.h
+++ b/src/entry/tests/entryfixture.h
@@ -64,6 +64,8 @@
     FakeBalancer balancer;
     FakeLookup lookup;
     FakeObserver observer;
+    IServingGate *servingGate = nullptr; //!< passed by start(), as the next one
+    IRetryBudget *retryBudget = nullptr;
     EntryOptions options;
     RawEndpoint first;
     RawEndpoint second;
--- a/src/entry/tests/fakes.h
+++ b/src/entry/tests/fakes.h
@@ -13,6 +13,8 @@
 #include "damaskgate/balance/ibalancer.h"
 #include "damaskgate/entry/ilookup.h"
 #include "damaskgate/entry/irequestobserver.h"
+#include "damaskgate/entry/iretrybudget.h"
+#include "damaskgate/entry/iservinggate.h"
 #include "damaskgate/limits/iadmission.h"
 #include "damaskgate/settings/isettingsstore.h"
 
@@ -67,6 +69,7 @@
 public:
     std::uint64_t acquire(const balance::WorkRequest &request, Done done) override
     {
+        this->requests.push_back(request);
         if (this->isQueueing) {
             this->queued.emplace_back(++this->lastId,
                                       [this, request, done] { done(this->grant(request)); });
@@ -98,6 +101,7 @@
     }
 
     std::vector<settings::Endpoint> endpoints;
+    std::vector<balance::WorkRequest> requests; //!< all that were passed to acquire()
     std::vector<balance::ExchangeReport> reports;
     std::set<std::uint64_t> heldGrants;
     std::deque<std::pair<std::uint64_t, std::function<void()>>> queued;
@@ -135,6 +139,43 @@
     }
 };
 
+/** Retry budget whose retries the test counts out. */
+class FakeRetryBudget final : public IRetryBudget
+{
+public:
+    void onRequest(const core::ServiceName & /*service*/) override {}
+
+    bool hasRetry(const core::ServiceName & /*service*/) override
+    {
+        return this->available > 0;
+    }
+
+    bool tryConsume(const core::ServiceName & /*service*/) override
+    {
+        if (this->available == 0 || this->isTakenByOthers) {
+            return false;
+        }
+        --this->available;
+        return true;
+    }
+
+    int available = 100;
+    bool isTakenByOthers = false; //!< another thread takes each retry that hasRetry() has seen
+};
+
+/** Serving gate that the test opens and closes. */
+class FakeServingGate final : public IServingGate
+{
+public:
+    core::Result<void> checkServing() const override
+    {
+        return this->isOpen ? core::Result<void> {}
+                            : core::notRun(core::Reason::SettingsStale, "the settings are old");
+    }
+
+    bool isOpen = true;
+};
+
 /** Stores all request records. */
 class FakeObserver final : public IRequestObserver
 {
