entry: serve a request that arrives as the timeout of its idle connection is checked

Callers that use open connections got a close in place of an answer: when a host was held up for longer than the idle timeout and a request arrived meanwhile, the check of the timeouts cancelled the wait for input before it was seen, and the connection was closed with the request unread. If the input was seen first, no timeout applied to the connection any more, since isTimedOut was never cleared.

A wait that is cancelled while input is there now goes on to read it; each phase starts with a timeout of its own, and a timeout is repeated until the phase ends.

Interruption_Tests.IdleTimeout_RequestArrivesBeforeTheCheck_IsServed failed before, and ..._HeaderBeginsBeforeTheCheck_HeaderTimeoutApplies hung. The other tests of the file show what does not end a request at which an endpoint is at work: changed settings, withdrawn keys, limits and endpoints, timeouts of the connection, pipelined bytes, a drain.

--- a/src/entry/callerconnection.cpp
+++ b/src/entry/callerconnection.cpp
@@ -71,6 +71,12 @@
     this->close();
 }
 
+bool CallerConnection::hasInput() const
+{
+    error_code ec;
+    return this->socket.available(ec) > 0 && !ec;
+}
+
 void CallerConnection::cancel()
 {
     error_code ignored;
--- a/src/entry/callerconnection.h
+++ b/src/entry/callerconnection.h
@@ -32,6 +32,9 @@
     /** Closes the sending side, then discards input, so that no reset destroys the response. */
     asio::awaitable<void> closeGracefully();
 
+    /** @return whether received bytes wait to be read. */
+    bool hasInput() const;
+
     /** Aborts all pending operations; the connection stays open. */
     void cancel();
 
--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -44,7 +44,7 @@
 void CallerSession::checkTimeouts(core::Instant now)
 {
     const bool isWaiting = this->phase == Phase::Idle || this->phase == Phase::Header;
-    if (isWaiting && now >= this->phaseEnd && !this->isTimedOut) {
+    if (isWaiting && now >= this->phaseEnd) {
         this->isTimedOut = true;
         this->connection->cancel();
     }
@@ -70,6 +70,7 @@
     if (!co_await this->waitForRequest()) {
         co_return false;
     }
+    this->enterPhase(Phase::Header, this->context.options.headerTimeout);
     const auto headerSize = co_await this->receiveHeader();
     if (!headerSize && this->connection->buffer.size() == 0) {
         co_return false;
@@ -108,7 +109,8 @@
     buffer.shrink_to_fit();
     const auto [ec] =
         co_await this->connection->socket.async_wait(asio::ip::tcp::socket::wait_read, WithError);
-    co_return !ec;
+    // Bytes may have arrived between the last check of the socket and a timeout.
+    co_return !ec || this->connection->hasInput();
 }
 
 asio::awaitable<core::Result<std::size_t>> CallerSession::receiveHeader()
@@ -126,9 +128,6 @@
         if (buffer.size() >= this->context.options.maxHeaderBytes) {
             co_return core::notRun(core::Reason::BadRequest, "the request header is too large");
         }
-        if (this->phase == Phase::Idle && buffer.size() > 0) {
-            this->enterPhase(Phase::Header, this->context.options.headerTimeout);
-        }
         searched = buffer.size() - std::min(buffer.size(), HeaderEnd.size() - 1);
         const auto space = buffer.prepare(HeaderReadSize);
         const auto [ec, size] = co_await this->connection->socket.async_read_some(space, WithError);
@@ -173,6 +172,7 @@
 {
     this->phase = next;
     this->phaseEnd = this->context.now() + timeout;
+    this->isTimedOut = false;
 }
 
 void CallerSession::skipEmptyLines()
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -30,7 +30,7 @@
 private:
     enum class Phase {
         Idle, //!< no byte of the next request has arrived
-        Header, //!< an incomplete header has arrived
+        Header, //!< a header is being read
         Exchange,
         Closing,
     };
@@ -48,7 +48,7 @@
     std::shared_ptr<Exchange> exchange; //!< null between requests
     Phase phase = Phase::Idle;
     core::Instant phaseEnd;
-    bool isTimedOut = false;
+    bool isTimedOut = false; //!< the timeout of the phase has expired
 };
 
 } // namespace damaskgate::entry
