entry: reset a connection whose response is cut by a stop

A caller of HTTP/1.0, or any whose response ends with its connection, took a part of a response for all of it when the host stopped: CallerSession::stop() closed the connection regularly before the exchange could reset it.

The exchange now closes the connection of a request in progress. Interruption_Tests. Stop_ResponseThatEndsWithItsConnection_IsReset failed before.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -59,10 +59,13 @@
 
 void CallerSession::stop()
 {
-    if (this->exchange) {
-        this->exchange->abort(AbortCause::Stopped);
+    if (!this->exchange) {
+        this->connection->close();
+        return;
     }
-    this->connection->close();
+    // The exchange closes the connection, with a reset if a part of the response was sent.
+    this->exchange->abort(AbortCause::Stopped);
+    this->connection->cancel();
 }
 
 asio::awaitable<bool> CallerSession::serveNext()
--- a/src/entry/tests/interruption_test.cpp
+++ b/src/entry/tests/interruption_test.cpp
@@ -246,6 +246,26 @@
     EXPECT_TRUE(work.upstream.isClosedByPeer());
 }
 
+// Guards against a part that looks whole: a response without length ended with a regular close.
+TEST_F(Interruption_Tests, Stop_ResponseThatEndsWithItsConnection_IsReset)
+{
+    // [GIVEN] A response in progress whose end the caller knows by the end of the connection
+    this->start();
+    RawPeer caller = this->connect();
+    caller.send("GET /read/1 HTTP/1.0\r\nHost: hall\r\nDamaskgate-Key: " + std::string(Key)
+                + "\r\n\r\n");
+    RawPeer upstream = this->first.accept();
+    upstream.readRequestHead();
+    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ncata\r\n");
+    ASSERT_TRUE(caller.readUntil("cata"));
+
+    // [WHEN] The host stops
+    this->call([this] { this->server->stop(); });
+
+    // [THEN] The caller sees that the response is incomplete
+    EXPECT_TRUE(caller.isResetByPeer());
+}
+
 TEST_F(Interruption_Tests, Stop_ResponseWrittenButNotRead_ArrivesWhole)
 {
     // [GIVEN] A response that was written to a caller that does not read yet
