gateway, entry: stop only when no request waits to be read

Callers near a stop got a reset or a close: the host ended as soon as no request was in progress, while connections had requests that had arrived but not been read, as after a moment in which it was held up.

The host now also waits for sessions that read a header or have input, and refuses what they read. A header that is never completed holds it up to the end of the grace time.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -57,6 +57,12 @@
     }
 }
 
+bool CallerSession::isIdle() const
+{
+    return this->phase == Phase::Closing
+        || (this->phase == Phase::Idle && !this->connection->hasInput());
+}
+
 void CallerSession::stop()
 {
     if (!this->exchange) {
--- a/src/entry/callersession.h
+++ b/src/entry/callersession.h
@@ -24,6 +24,9 @@
     /** Shortens the timeout of an idle connection; other connections close after their response. */
     void onDrain(core::Instant now);
 
+    /** @return whether no request is in progress, is being read or waits to be read. */
+    bool isIdle() const;
+
     /** Aborts the request in progress and closes the connection immediately. */
     void stop();
 
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -213,6 +213,13 @@
     return this->impl->sessions.size();
 }
 
+bool EntryServer::isIdle() const
+{
+    return this->impl->context.exchanges == 0
+        && std::ranges::all_of(this->impl->sessions,
+                               [](const auto &session) { return session->isIdle(); });
+}
+
 std::size_t EntryServer::exchangeCount() const
 {
     return this->impl->context.exchanges;
--- a/src/entry/include/damaskgate/entry/entryserver.h
+++ b/src/entry/include/damaskgate/entry/entryserver.h
@@ -80,6 +80,9 @@
     /** @return the number of open caller connections. */
     std::size_t connectionCount() const;
 
+    /** @return whether no request is in progress, is being read or waits to be read. */
+    bool isIdle() const;
+
     /** @return the number of requests in progress. */
     std::size_t exchangeCount() const;
 
--- a/src/entry/tests/interruption_test.cpp
+++ b/src/entry/tests/interruption_test.cpp
@@ -288,3 +288,39 @@
     EXPECT_TRUE(response.isComplete);
     EXPECT_EQ(response.body.size(), body.size());
 }
+
+// Guards against a reset without an answer: a host that stopped when no request was in progress
+// left those unread that had arrived while its event loop was held up.
+TEST_F(Interruption_Tests, IsIdle_RequestArrivedButNotRead_IsFalse)
+{
+    // [GIVEN] Connections that have been used, are new, and wait to be accepted
+    this->start();
+    RawPeer used = this->sendNew("GET /.damaskgate/v1/entries");
+    EXPECT_EQ(used.readResponse().status(), 200);
+    RawPeer unused = this->connect();
+    ASSERT_TRUE(this->eventually([this] { return this->server->connectionCount() == 2; }));
+    EXPECT_TRUE(this->call([this] { return this->server->isIdle(); }));
+
+    for (RawPeer *caller : { static_cast<RawPeer *>(nullptr), &used, &unused }) {
+        SCOPED_TRACE(caller == nullptr ? "waits to be accepted" : "accepted");
+
+        // [WHEN] A request arrives while the event loop is held up, and the host drains
+        std::optional<RawPeer> waiting;
+        const bool isIdle = this->call([&] {
+            if (caller == nullptr) {
+                waiting.emplace(this->sendNew("GET /read/1"));
+            } else {
+                caller->send(request("GET /read/1"));
+            }
+            std::this_thread::sleep_for(DeliveryTime);
+            this->server->drain([] {});
+            return this->server->isIdle();
+        });
+
+        // [THEN] The host is not idle until it has answered
+        EXPECT_FALSE(isIdle);
+        RawPeer &answered = caller == nullptr ? *waiting : *caller;
+        EXPECT_EQ(answered.readResponse().field("Damaskgate-Reason"), "draining");
+        EXPECT_TRUE(this->eventually([this] { return this->server->isIdle(); }));
+    }
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -488,7 +488,7 @@
 
 void Gateway::Impl::stopWhenIdle(core::Instant latest)
 {
-    if (this->server.exchangeCount() == 0 || this->clock.now() >= latest) {
+    if (this->server.isIdle() || this->clock.now() >= latest) {
         this->events.record({ "drain-ended", { { "exchanges", this->server.exchangeCount() } } });
         this->context.stop();
         return;
