entry, gateway: refuse requests by the time at which the drain is due

A request that was complete later than 3 s after SIGTERM was passed on if the host was held up at that moment: the read came before the timer of the drain in the same pass of the event loop. It could be at work at an endpoint at the end of the grace time and be cut there, later than a request sent in time.

Requests are now refused from the time at which the drain is due, whether or not its timer has fired. A delay between SIGTERM and its handling is not covered.

--- a/src/entry/callersession.cpp
+++ b/src/entry/callersession.cpp
@@ -97,6 +97,7 @@
     if (!parsed) {
         co_return co_await this->refuseHeader(parsed.error(), BadRequestStatus);
     }
+    this->context.checkDrain();
     this->enterPhase(Phase::Exchange, NoTimeout);
     this->exchange =
         std::make_shared<Exchange>(this->context, this->connection, parser,
--- a/src/entry/entrycontext.cpp
+++ b/src/entry/entrycontext.cpp
@@ -19,6 +19,11 @@
     return this->dependencies.clock.now();
 }
 
+void EntryContext::checkDrain()
+{
+    this->isDraining = this->isDraining || this->now() >= this->drainDue;
+}
+
 IRetryBudget &EntryContext::retryBudget()
 {
     IRetryBudget *shared = this->dependencies.retryBudget;
--- a/src/entry/entrycontext.h
+++ b/src/entry/entrycontext.h
@@ -23,6 +23,9 @@
 
     core::Instant now() const;
 
+    /** Begins to refuse requests if the drain is due. */
+    void checkDrain();
+
     /** @return the budget passed in the dependencies, or this host's own. */
     IRetryBudget &retryBudget();
 
@@ -40,6 +43,7 @@
     std::uint64_t lastExchange = 0;
     std::size_t exchanges = 0; //!< requests in progress
     bool isKeepAliveDisabled = false; //!< connections close after their response
+    core::Instant drainDue = core::Instant::max(); //!< no request is accepted from then on
     bool isDraining = false;
     bool isStopped = false;
 };
--- a/src/entry/entryserver.cpp
+++ b/src/entry/entryserver.cpp
@@ -198,6 +198,11 @@
     this->impl->context.isKeepAliveDisabled = true;
 }
 
+void EntryServer::scheduleDrain(core::Instant due)
+{
+    this->impl->context.drainDue = due;
+}
+
 void EntryServer::drain(DrainDone done)
 {
     this->impl->drain(std::move(done));
--- a/src/entry/include/damaskgate/entry/entryserver.h
+++ b/src/entry/include/damaskgate/entry/entryserver.h
@@ -67,6 +67,9 @@
     /** Closes each connection after its next response, so that callers switch to other hosts. */
     void disableKeepAlive();
 
+    /** Refuses requests from @p due on as drain() does, even if it is called late. */
+    void scheduleDrain(core::Instant due);
+
     /**
      * Stops accepting connections, completes running requests and refuses new ones with Draining.
      *
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -471,9 +471,11 @@
 
 void Gateway::Impl::startLeaving()
 {
-    const core::Instant latest = this->clock.now() + this->options.stopGrace - ShutdownMargin;
+    const core::Instant now = this->clock.now();
+    const core::Instant latest = now + this->options.stopGrace - ShutdownMargin;
     this->servingState.startLeaving();
     this->server.disableKeepAlive();
+    this->server.scheduleDrain(now + CallerMigrationTime);
     this->fleet.announce();
     this->stopTimer.expires_after(CallerMigrationTime);
     this->stopTimer.async_wait([this, latest](const boost::system::error_code &error) {
