entry: count the time at endpoints once with three attempts

Found in the review: with a third attempt after the second one had failed, the time of the first counted twice (1,056 ms of a request of 804 ms), so the metric of added time showed zero. The time from the first send to the last end of attempts that overlap is now added when they are over. LateResponse_Tests.Forward_ThreeAttempts_TimeCountsOnce failed before.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -310,6 +310,7 @@
     if (!still) {
         co_return still;
     }
+    this->addTimeAtEndpoints();
     this->launch(*grant, std::move(slot));
     co_return Step {};
 }
@@ -539,16 +540,18 @@
 void Exchange::recordTime(const AttemptResult &result)
 {
     const core::Duration latency = result.report.latency;
-    if (latency <= core::Duration::zero()) {
-        return;
+    if (latency > core::Duration::zero()) {
+        const bool isFirst = this->sentUntil == core::Instant {};
+        this->sentFrom = isFirst ? result.sentAt : std::min(this->sentFrom, result.sentAt);
+        this->sentUntil = std::max(this->sentUntil, result.sentAt + latency);
     }
-    const core::Instant until = result.sentAt + latency;
-    const core::Duration former = this->sentUntil - this->sentFrom;
-    const bool isTogether = result.sentAt < this->sentUntil;
-    this->sentFrom = isTogether ? std::min(this->sentFrom, result.sentAt) : result.sentAt;
-    this->sentUntil = isTogether ? std::max(this->sentUntil, until) : until;
-    this->record.upstream +=
-        this->sentUntil - this->sentFrom - (isTogether ? former : core::Duration::zero());
+}
+
+void Exchange::addTimeAtEndpoints()
+{
+    this->record.upstream += this->sentUntil - this->sentFrom;
+    this->sentFrom = {};
+    this->sentUntil = {};
 }
 
 bool Exchange::mayRetry(const AttemptResult &result)
@@ -702,6 +705,7 @@
         this->record.verdict = core::Verdict::Ran;
     }
     this->record.isCancelled = this->abortCause == AbortCause::CallerDisconnected;
+    this->addTimeAtEndpoints();
     const core::Instant now = this->context.now();
     this->record.total = now - this->startedAt;
     this->record.left = std::max(this->plan.deadline - now, core::Duration::zero());
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -57,6 +57,7 @@
     Step recheck();
     void recordResult(const ActiveAttempt &ended);
     void recordTime(const AttemptResult &result);
+    void addTimeAtEndpoints();
     bool mayRetry(const AttemptResult &result);
     bool isRepeatable() const;
     bool canSendAgain() const;
--- a/src/entry/tests/lateresponse_test.cpp
+++ b/src/entry/tests/lateresponse_test.cpp
@@ -441,3 +441,25 @@
         EXPECT_TRUE(this->balancer.queued.empty());
     });
 }
+
+TEST_F(LateResponse_Tests, Forward_ThreeAttempts_TimeCountsOnce)
+{
+    RawEndpoint third;
+    settings::Endpoint last = this->balancer.endpoints.back();
+    last.name = core::EndpointName("bokun-3");
+    last.port = third.port();
+    this->balancer.endpoints.push_back(last);
+    this->start();
+    auto [caller, former, latter] = this->sendToBoth();
+    std::this_thread::sleep_for(LongAfterIt);
+    latter.send(ShedResponse);
+    RawPeer healthy = receive(third);
+    std::this_thread::sleep_for(LongAfterIt);
+    healthy.send(ShedResponse);
+    std::this_thread::sleep_for(LongAfterIt);
+    former.send(OkResponse);
+    EXPECT_EQ(caller.readResponse().body, "ok");
+    ASSERT_TRUE(this->eventually([this] { return this->observer.records.size() == 1; }));
+    const RequestRecord record = this->call([this] { return this->observer.records[0]; });
+    EXPECT_LE(record.upstream, record.total);
+}
