entry: report an endpoint that is late at a caller's short deadline as a timeout

Found in the review: since late responses are waited for, an endpoint that stayed silent until the deadline of its callers was reported as cancelled unless half of the route's timeout had passed, so a frozen endpoint was not suspected and went on to get requests. Before, the attempt was broken off at the late threshold and reported as a timeout.

A repeatable request that was past its late threshold at the deadline is now a timeout. LateResponse_Tests.Forward_LateAtTheCallersDeadlineAndNoOther_* failed before.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -517,13 +517,9 @@
 {
     const AttemptResult &result = ended.attempt->result();
     balance::ExchangeReport report = result.report;
+    report.outcome = this->outcomeOf(ended);
     if (ended.attempt->isAbandoned() && this->abortCause == AbortCause::None) {
-        const bool isLate = ended.lateThreshold > core::Duration::zero()
-            && this->context.now() - ended.startedAt >= ended.lateThreshold;
-        report.outcome = isLate ? balance::Outcome::Timeout : balance::Outcome::Cancelled;
         ++this->record.abandonedAttempts;
-    } else {
-        report.outcome = this->outcomeOf(result);
     }
     ended.slot->setReport(report);
     this->verdict = core::combine(this->verdict, result.verdict);
@@ -609,17 +605,26 @@
     });
 }
 
-// A short deadline set by the caller is no evidence against the endpoint. Only attempts that took
-// at least half of the route's timeout are reported as timeouts.
-balance::Outcome Exchange::outcomeOf(const AttemptResult &result) const
+// A short deadline set by the caller is no evidence against the endpoint. Only attempts that were
+// late or took at least half of the route's timeout are reported as timeouts.
+balance::Outcome Exchange::outcomeOf(const ActiveAttempt &ended) const
 {
-    if (this->abortCause == AbortCause::None || !result.error) {
+    const AttemptResult &result = ended.attempt->result();
+    const bool isRequestAborted = this->abortCause != AbortCause::None;
+    if (!result.error || (!isRequestAborted && !ended.attempt->isAbandoned())) {
         return result.report.outcome;
     }
+    const bool isLate = this->isRepeatable() && ended.attempt->isAbandoned()
+        && ended.lateThreshold > core::Duration::zero()
+        && this->context.now() - ended.startedAt >= ended.lateThreshold;
+    if (!isRequestAborted) {
+        return isLate ? balance::Outcome::Timeout : balance::Outcome::Cancelled;
+    }
     const bool isSent = result.report.outcome != balance::Outcome::Cancelled
         && result.verdict != core::Verdict::NotRun;
     const bool isLongWait = result.report.latency >= this->permission.route->timeout / 2;
-    const bool isTimeout = this->abortCause == AbortCause::DeadlinePassed && isSent && isLongWait;
+    const bool isTimeout =
+        this->abortCause == AbortCause::DeadlinePassed && isSent && (isLate || isLongWait);
     return isTimeout ? balance::Outcome::Timeout : balance::Outcome::Cancelled;
 }
 
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -63,7 +63,7 @@
     bool canSendAgain() const;
     std::size_t maxAttempts() const;
     void startDeadline();
-    balance::Outcome outcomeOf(const AttemptResult &result) const;
+    balance::Outcome outcomeOf(const ActiveAttempt &ended) const;
     core::Error abortError() const;
     asio::awaitable<bool> refuse(core::Error error);
     void endOperation();
--- a/src/entry/tests/lateresponse_test.cpp
+++ b/src/entry/tests/lateresponse_test.cpp
@@ -442,6 +442,24 @@
     });
 }
 
+// Guards against a silent endpoint without evidence: no other endpoint has a free slot, and callers
+// have short deadlines.
+TEST_F(LateResponse_Tests, Forward_LateAtTheCallersDeadlineAndNoOther_CountsAsTimeout)
+{
+    // [GIVEN] A service with one endpoint, which is silent for ten times the late threshold
+    this->balancer.endpoints.pop_back();
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1", "Damaskgate-Deadline-Ms: 500\r\n");
+    RawPeer former = receive(this->first);
+
+    // [WHEN] The caller's deadline passes
+    EXPECT_EQ(caller.readResponse().status(), 504);
+
+    // [THEN] The balancer learns that the endpoint was late, as it did when it was broken off
+    ASSERT_TRUE(this->hasReports(1));
+    EXPECT_EQ(this->balancer.reports[0].outcome, Outcome::Timeout);
+}
+
 TEST_F(LateResponse_Tests, Forward_ThreeAttempts_TimeCountsOnce)
 {
     RawEndpoint third;
