entry: start second attempts also after unrelated changes of settings

Found in the review: any change of settings, also one that said the same of the request, ruled out a second attempt for the rest of the request, which then waited for its deadline at a frozen endpoint. Settings change every few seconds in a large fleet.

A second attempt now needs settings that permit the request to the same workspace, route and service, with the same rules of repetition. Forward_OtherSettingsChangedMeanwhile_SecondIsAsked failed before. Forward_SettingsChangedMeanwhile_ NoSecondAttempt replaced the settings by equal ones and so required the fault; it now changes key, route, service, repeatability and maxAttempts in turn, and requires that nothing is sent in each case.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -332,7 +332,6 @@
     }
 }
 
-// Settings that changed since the first attempt was sent may no longer allow the request.
 bool Exchange::mayStartSecondAttempt() const
 {
     const std::span<const ActiveAttempt> active = this->attempts.active();
@@ -340,8 +339,23 @@
     return this->abortCause == AbortCause::None && active.size() == 1
         && active.front().attempt->isWaiting() && this->body.isDone() && this->isRepeatable()
         && this->canSendAgain() && this->failedEndpoints.size() + 1 < MaxEndpointsTried
-        && this->context.routes.current() == this->permission.index
-        && (gate == nullptr || gate->checkServing());
+        && this->isStillPermitted() && (gate == nullptr || gate->checkServing());
+}
+
+// Returns whether settings that have changed since the request was checked say the same of it.
+bool Exchange::isStillPermitted() const
+{
+    const auto index = this->context.routes.current();
+    if (index == this->permission.index) {
+        return true;
+    }
+    const auto found = findPermission(this->requestInfo, index);
+    const settings::Route &former = *this->permission.route;
+    return found && found->workspace == this->permission.workspace
+        && found->route->name == former.name && isServedBy(*found->route, this->service)
+        && found->route->isRepeatable == former.isRepeatable
+        && found->route->isRepeatableByAnyMethod == former.isRepeatableByAnyMethod
+        && found->route->maxAttempts == former.maxAttempts;
 }
 
 // A second attempt helps only if enough time is left for another endpoint to respond.
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -47,6 +47,7 @@
     asio::awaitable<Step> startAttempt(const std::optional<core::Error> &lastError);
     asio::awaitable<void> startSecondAttempt();
     bool mayStartSecondAttempt() const;
+    bool isStillPermitted() const;
     std::optional<core::Instant> secondAttemptTime() const;
     bool isFailureDiscarded() const;
     void launch(const balance::SlotGrant &grant, std::unique_ptr<SlotGuard> slot);
--- a/src/entry/tests/lateresponse_test.cpp
+++ b/src/entry/tests/lateresponse_test.cpp
@@ -309,17 +309,31 @@
 // Guards against a request that is sent to another endpoint by settings that no longer hold.
 TEST_F(LateResponse_Tests, Forward_SettingsChangedMeanwhile_NoSecondAttempt)
 {
-    // [GIVEN] A request at an endpoint
+    const core::RouteName read("read");
+    const std::function<void(settings::Settings &)> changes[] {
+        [](auto &next) { next.workspaces.clear(); },
+        [](auto &next) { next.routes.clear(); },
+        [read](auto &next) { next.routes[read].service = core::ServiceName("other"); },
+        [read](auto &next) { next.routes[read].isRepeatable = false; },
+        [read](auto &next) { next.routes[read].maxAttempts = 1; },
+    };
     this->start();
-    RawPeer caller = this->sendNew("GET /read/1");
-    RawPeer former = receive(this->first);
+    for (const auto &change : changes) {
+        // [GIVEN] A request at an endpoint
+        this->call([this] { this->store.replace(makeSettings()); });
+        RawPeer caller = this->sendNew("GET /read/1");
+        RawPeer former = receive(this->first);
 
-    // [WHEN] The settings change before the response is late
-    this->call([this] { this->store.replace(makeSettings()); });
+        // [WHEN] The settings say something else of it before the response is late
+        auto next = makeSettings();
+        change(*next);
+        this->call([this, next] { this->store.replace(next); });
 
-    // [THEN] The first endpoint is waited for, and the second is not asked
-    this->expectIsWaitedFor(caller, former);
-    EXPECT_FALSE(this->second.hasPending());
+        // [THEN] The first endpoint is waited for, and the second is not asked
+        this->expectIsWaitedFor(caller, former);
+        EXPECT_FALSE(this->second.hasPending());
+        former.close();
+    }
 }
 
 // Guards against a request that is broken off, since this host's data is old.
@@ -481,3 +495,19 @@
     const RequestRecord record = this->call([this] { return this->observer.records[0]; });
     EXPECT_LE(record.upstream, record.total);
 }
+
+// Guards against a request that waits for its deadline, since unrelated settings changed.
+TEST_F(LateResponse_Tests, Forward_OtherSettingsChangedMeanwhile_SecondIsAsked)
+{
+    // [GIVEN] A request at an endpoint that stays silent
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer former = receive(this->first);
+
+    // [WHEN] Settings change that say the same of this request
+    this->call([this] { this->store.replace(makeSettings()); });
+
+    // [THEN] Another endpoint is asked, as after any failure of the first one
+    std::this_thread::sleep_for(LongAfterIt);
+    EXPECT_TRUE(this->second.hasPending());
+}
