--- a/src/entry/tests/fakes.h
+++ b/src/entry/tests/fakes.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,6 +71,9 @@
     std::uint64_t acquire(const balance::WorkRequest &request, Done done) override
     {
         this->requests.push_back(request);
+        if (this->isThrowingForSpeculative && request.isSpeculative) {
+            throw std::runtime_error("no memory");
+        }
         if (this->isQueueing) {
             this->queued.emplace_back(++this->lastId,
                                       [this, request, done] { done(this->grant(request)); });
@@ -107,6 +111,7 @@
     std::deque<std::pair<std::uint64_t, std::function<void()>>> queued;
     core::Duration lateThreshold {}; //!< copied to each grant
     bool isQueueing = false;
+    bool isThrowingForSpeculative = false;
     int cancelled = 0;
 
 private:
--- a/src/entry/tests/lateresponse_test.cpp
+++ b/src/entry/tests/lateresponse_test.cpp
@@ -456,6 +456,127 @@
     });
 }
 
+// Guards against the loss of an endpoint's response: the error is discarded for the response of
+// another endpoint that is never sent.
+TEST_F(LateResponse_Tests, Forward_FirstReturnsErrorThenSecondBreaksOff_ErrorIsForwarded)
+{
+    // [GIVEN] A request in progress at two endpoints, and no retry left
+    this->budget.available = 1;
+    this->start();
+    auto [caller, former, latter] = this->sendToBoth();
+
+    // [WHEN] The first one returns a server error and the second one breaks off
+    former.send(ErrorResponse);
+    std::this_thread::sleep_for(LongAfterIt);
+    latter.close();
+
+    // [THEN] The endpoint's error is forwarded, not one of this host
+    const WireMessage response = caller.readResponse();
+    EXPECT_EQ(response.status(), 500);
+    EXPECT_EQ(response.body, "bad");
+}
+
+// Guards against the same if the second endpoint does not respond before the deadline.
+TEST_F(LateResponse_Tests, Forward_FirstReturnsErrorThenSecondIsSilent_ErrorIsForwarded)
+{
+    // [GIVEN] A request in progress at two endpoints, and no retry left
+    this->budget.available = 1;
+    this->changeRead([](settings::Route &read) { read.timeout = milliseconds(800); });
+    this->start();
+    auto [caller, former, latter] = this->sendToBoth();
+
+    // [WHEN] The first one returns a server error and the second one stays silent
+    former.send(ErrorResponse);
+
+    // [THEN] The endpoint's error is forwarded, not one of this host
+    const WireMessage response = caller.readResponse();
+    EXPECT_EQ(response.status(), 500);
+    EXPECT_EQ(response.body, "bad");
+}
+
+// Guards against the same with one attempt: the retry for which the error is discarded is taken by
+// others.
+TEST_F(LateResponse_Tests, Forward_ServerErrorAndRetryIsTakenByOthers_ErrorIsForwarded)
+{
+    this->balancer.lateThreshold = {};
+    this->budget.isTakenByOthers = true;
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer former = receive(this->first);
+    former.send(ErrorResponse);
+    EXPECT_EQ(caller.readResponse().status(), 500);
+}
+
+// Guards against the same if no other endpoint exists.
+TEST_F(LateResponse_Tests, Forward_ServerErrorOfTheOnlyEndpoint_ErrorIsForwarded)
+{
+    this->balancer.endpoints.pop_back();
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer former = receive(this->first);
+    former.send(ErrorResponse);
+    EXPECT_EQ(caller.readResponse().status(), 500);
+}
+
+TEST_F(LateResponse_Tests, Forward_HeadAtTwoEndpoints_ConnectionStaysUsable)
+{
+    this->start();
+    RawPeer caller = this->sendNew("HEAD /read/1");
+    RawPeer former = receive(this->first);
+    RawPeer latter = receive(this->second);
+    latter.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    EXPECT_EQ(caller.readResponseHead().status(), 200);
+    EXPECT_TRUE(former.isResetByPeer());
+    caller.send(request("GET /read/2"));
+    RawPeer next = receive(this->first);
+    next.send(OkResponse);
+    EXPECT_EQ(caller.readResponse().body, "ok");
+}
+
+TEST_F(LateResponse_Tests, Forward_SmallBodyAtTwoEndpoints_BothGetItWhole)
+{
+    this->changeRead([](settings::Route &read) { read.isRepeatableByAnyMethod = true; });
+    this->start();
+    RawPeer caller = this->sendNew("PUT /read/1", "Transfer-Encoding: chunked\r\n");
+    caller.send("3\r\nabc\r\n0\r\n\r\n");
+    RawPeer former = receive(this->first);
+    EXPECT_TRUE(former.readUntil("abc\r\n0\r\n\r\n"));
+    RawPeer latter = receive(this->second);
+    EXPECT_TRUE(latter.readUntil("abc\r\n0\r\n\r\n"));
+    latter.send(OtherResponse);
+    EXPECT_EQ(caller.readResponse().body, "other");
+    EXPECT_TRUE(former.isResetByPeer());
+}
+
+TEST_F(LateResponse_Tests, Forward_NotRepeatableAndLate_NoSecondAttempt)
+{
+    this->start();
+    RawPeer caller = this->sendNew("POST /read/1", "Content-Length: 0\r\n");
+    RawPeer former = receive(this->first);
+    std::this_thread::sleep_for(LongAfterIt);
+    EXPECT_FALSE(this->second.hasPending());
+    former.send(OkResponse);
+    EXPECT_EQ(caller.readResponse().body, "ok");
+    former.close();
+    RawPeer other = this->sendNew("GET /book/1");
+    RawPeer again = receive(this->first);
+    std::this_thread::sleep_for(LongAfterIt);
+    EXPECT_FALSE(this->second.hasPending());
+    again.send(OkResponse);
+    EXPECT_EQ(other.readResponse().body, "ok");
+}
+
+TEST_F(LateResponse_Tests, Forward_BalancerThrowsForTheSecond_FirstIsReset)
+{
+    this->balancer.isThrowingForSpeculative = true;
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer former = receive(this->first);
+    EXPECT_TRUE(former.isResetByPeer());
+    EXPECT_TRUE(caller.isClosedByPeer());
+    EXPECT_TRUE(this->hasReports(1));
+}
+
 // Guards against a silent endpoint without evidence: no other endpoint has a free slot, and callers
 // have short deadlines.
 TEST_F(LateResponse_Tests, Forward_LateAtTheCallersDeadlineAndNoOther_CountsAsTimeout)
@@ -496,6 +617,29 @@
     EXPECT_LE(record.upstream, record.total);
 }
 
+// Guards against retries that are used up by endpoints that no request reaches.
+TEST_F(LateResponse_Tests, Forward_SecondEndpointsUnreachable_UseNoRetry)
+{
+    // [GIVEN] A late response, and three other endpoints that are down
+    for (const char *name : { "bokun-3", "bokun-4" }) {
+        settings::Endpoint down = this->balancer.endpoints[1];
+        down.name = core::EndpointName(name);
+        this->balancer.endpoints.push_back(down);
+    }
+    this->second.close();
+    this->budget.available = 10;
+    this->start();
+    RawPeer caller = this->sendNew("GET /read/1");
+    RawPeer former = receive(this->first);
+
+    // [WHEN] All of them were tried
+    ASSERT_TRUE(this->hasReports(3));
+
+    // [THEN] The retries are left to requests that endpoints receive
+    EXPECT_EQ(this->call([this] { return this->budget.available; }), 10);
+    this->expectIsWaitedFor(caller, former);
+}
+
 // Guards against a request that waits for its deadline, since unrelated settings changed.
 TEST_F(LateResponse_Tests, Forward_OtherSettingsChangedMeanwhile_SecondIsAsked)
 {
