entry: log the reason of each broken response

Callers saw a closed connection or a response of a second endpoint, and attempt-ended said only outcome=broken-off: a response cut by a reset, a malformed header and a status that does not exist could not be told apart, nor seen at all for a request that another endpoint answered.

The event response-broken names request, service, endpoint, verdict, whether a part has reached the caller, and the reason. One line for each attempt that failed in this way, beside its attempt-ended.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -587,6 +587,22 @@
         this->withheld = result.withheld;
     }
     this->recordTime(result);
+    this->recordBrokenResponse(ended, report.outcome);
+}
+
+void Exchange::recordBrokenResponse(const ActiveAttempt &ended, balance::Outcome outcome)
+{
+    const AttemptResult &result = ended.attempt->result();
+    if (outcome != balance::Outcome::BrokenOff || !result.error) {
+        return;
+    }
+    this->context.dependencies.events.record({ "response-broken",
+                                               { { "trace", this->record.traceId },
+                                                 { "service", this->service.text() },
+                                                 { "endpoint", ended.endpoint.text() },
+                                                 { "verdict", core::toText(result.verdict) },
+                                                 { "response_started", result.isResponseStarted },
+                                                 { "detail", result.error->detail } } });
 }
 
 // Time during which several attempts were in progress counts once.
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -60,6 +60,7 @@
     asio::awaitable<core::Result<balance::SlotGrant>> acquire(bool isSpeculative);
     Step recheck();
     void recordResult(const ActiveAttempt &ended);
+    void recordBrokenResponse(const ActiveAttempt &ended, balance::Outcome outcome);
     void recordTime(const AttemptResult &result);
     void addTimeAtEndpoints();
     bool mayRetry(const AttemptResult &result);
