http, entry: a reset that a write has taken breaks the response

An endpoint answers a long upload at once with a 200 without a length, sends 2,000 bytes and resets the connection.

Cause: the kernel reports a reset once, to the next operation. If that is the write of the upload, a read gets the rest of the bytes and then 0, the same as after an orderly end, and the parser took that for the end of the body. Asio runs a waiting write before a waiting read.

A response with its end of stream before the reset was whole before, and is now.

Change: CheckedStream keeps the first failed write of a connection. Its read reports an end of the stream only if no write has found the connection broken. A broken pipe as the first error means that the end of the stream came before the reset (Linux reports EPIPE in CLOSE_WAIT), so such responses stay whole. MessageReader is now the only place that decides whether a message has ended; responses of endpoints, of the source and of other hosts (HttpReader), of the load client, and bodies of callers go through it. It replaces BodyReader and the readers of Beast. A response that is known to be cut before its header is sent gets a 502, verdict "ran", or a second attempt of a safe request.

A trace of the sockets had the read resumed before the write that had taken the reset: the event loop learns of the reset, a write is called and fails at once, and the read, whose turn was queued before, ends first. So read lets what is queued run before it decides (CheckedStreamEnd_Tests, which fail without that and need no luck).

The requests of HttpReader and of the load client are written before the response is read, and a failed write ends them: they held before (tests added).

Cost: early responses without a length from endpoints that reset without ending their side first are refused; no additional connection.

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -8,7 +8,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
+
+#include "damaskgate/http/messagereader.h"
 
 #include "headcheck.h"
 #include "headerrules.h"
@@ -31,6 +32,8 @@
 constexpr unsigned ServerErrorStatus = 500;
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 
+using ResponseReader = damaskgate::http::MessageReader<UpstreamStream, ResponseParser>;
+
 std::string chunkHeader(std::size_t size)
 {
     std::array<char, 18> text {};
@@ -194,8 +197,7 @@
                                toBuffer(isLastChunk ? LastChunk : "") };
     this->currentResult.sentAt = this->context.now();
     this->currentResult.verdict = core::Verdict::MayHaveRun;
-    const auto [ec, size] =
-        co_await asio::async_write(this->connection->socket, buffers, WithError);
+    const auto [ec, size] = co_await this->connection->stream.write(buffers);
     if (!ec && !this->isAborted) {
         co_return true;
     }
@@ -250,8 +252,7 @@
     const std::array buffers { toBuffer(chunk), toBuffer(part),
                                toBuffer(chunk.empty() ? "" : "\r\n"),
                                toBuffer(isChunked && isLast ? LastChunk : "") };
-    const auto [ec, size] =
-        co_await asio::async_write(this->connection->socket, buffers, WithError);
+    const auto [ec, size] = co_await this->connection->stream.write(buffers);
     co_return !ec;
 }
 
@@ -275,10 +276,16 @@
         this->parser->header_limit(MaxResponseHeaderBytes);
         this->parser->body_limit(boost::none);
         this->parser->skip(this->plan.isHead);
-        const error_code ec = co_await this->receiveResponseHeader();
-        if (ec || this->headFault) {
+        ResponseReader reader(this->connection->stream, this->connection->buffer, *this->parser);
+        const error_code ec = co_await reader.readHead();
+        if (ec) {
             co_return ec;
         }
+        this->headFault = findHeadFault(this->parser->get(), { reader.rawHead(), this->isReused },
+                                        this->dialect());
+        if (this->headFault) {
+            co_return error_code {};
+        }
         if (!isInterim(*this->parser)) {
             this->parser->eager(true);
             co_return error_code {};
@@ -287,36 +294,6 @@
     co_return http::error::header_limit;
 }
 
-asio::awaitable<error_code> Attempt::receiveResponseHeader()
-{
-    auto &buffer = this->connection->buffer;
-    std::string raw;
-    while (!this->parser->is_header_done()) {
-        error_code ec;
-        if (buffer.size() > 0) {
-            const std::size_t parsed = this->parser->put(buffer.data(), ec);
-            raw.append(static_cast<const char *>(buffer.data().data()), parsed);
-            buffer.consume(parsed);
-        }
-        if (ec && ec != http::error::need_more) {
-            co_return ec;
-        }
-        if (this->parser->is_header_done()) {
-            this->headFault =
-                findHeadFault(this->parser->get(), { raw, this->isReused }, this->dialect());
-            break;
-        }
-        const auto space = buffer.prepare(IoBufferSize);
-        const auto [readError, size] =
-            co_await this->connection->socket.async_read_some(space, WithError);
-        if (readError) {
-            co_return readError;
-        }
-        buffer.commit(size);
-    }
-    co_return error_code {};
-}
-
 std::string_view Attempt::echoedId() const
 {
     const std::string &exchangeField = this->dialect().exchangeField;
@@ -347,6 +324,12 @@
     return !isSuccess || field.empty() || header.count(field) > 0;
 }
 
+// Returns whether a response that ends with its connection can't become whole, after a reset.
+bool Attempt::isTruncated() const
+{
+    return this->parser->need_eof() && this->connection->stream.isBroken();
+}
+
 // On a reused connection, a response to an earlier exchange may precede the matching one.
 asio::awaitable<error_code> Attempt::readMatchingResponseHead()
 {
@@ -365,7 +348,7 @@
 
 asio::awaitable<error_code> Attempt::discardResponse(std::string *body)
 {
-    BodyReader<false> reader(this->connection->socket, this->connection->buffer, *this->parser);
+    ResponseReader reader(this->connection->stream, this->connection->buffer, *this->parser);
     const auto space = std::make_unique_for_overwrite<char[]>(IoBufferSize);
     std::size_t discarded = 0;
     while (!reader.isDone()) {
@@ -431,7 +414,7 @@
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
                    this->isAborted       ? "this host ended the attempt before a response"
                        : this->headFault ? std::string(*this->headFault)
-                                         : "the endpoint sent no valid response header");
+                                         : "no valid response header: " + ec.message());
         co_return;
     }
     const bool isShedResponse = isShed(this->parser->get(), this->dialect());
@@ -458,6 +441,11 @@
         co_await this->withholdResponse();
         co_return;
     }
+    if (this->isTruncated()) {
+        this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
+                   "the connection was reset before the end of a response without a length");
+        co_return;
+    }
     this->currentResult.status = static_cast<int>(this->parser->get().result_int());
 }
 
@@ -471,7 +459,7 @@
     std::string head = makeResponseHead(*this->parser, this->framing, this->plan.traceId, isClosing,
                                         this->dialect());
 
-    BodyReader<false> reader(this->connection->socket, this->connection->buffer, *this->parser);
+    ResponseReader reader(this->connection->stream, this->connection->buffer, *this->parser);
     const auto space = std::make_unique_for_overwrite<char[]>(IoBufferSize);
     auto [ec, size] = reader.decode({ space.get(), IoBufferSize });
     this->currentResult.isResponseStarted = true;
@@ -489,7 +477,7 @@
     }
     if (ec) {
         this->fail(core::Reason::UpstreamFailed, balance::Outcome::BrokenOff,
-                   "the endpoint sent a truncated or malformed response");
+                   "the response is truncated or malformed: " + ec.message());
         co_return;
     }
     this->currentResult.isKeepAlive = !isClosing;
@@ -504,7 +492,7 @@
     const std::array buffers { toBuffer(head), toBuffer(chunk), toBuffer(part),
                                toBuffer(chunk.empty() ? "" : "\r\n"),
                                toBuffer(isLastChunk ? LastChunk : "") };
-    const auto [ec, size] = co_await asio::async_write(this->caller.socket, buffers, WithError);
+    const auto [ec, size] = co_await this->caller.stream.write(buffers);
     co_return !ec;
 }
 
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -115,11 +115,11 @@
     asio::awaitable<error_code> discardRest(std::string *body = nullptr);
     asio::awaitable<void> withholdResponse();
     const Dialect &dialect() const;
-    asio::awaitable<error_code> receiveResponseHeader();
     std::string_view echoedId() const;
     bool isMatchingResponse() const;
     bool isAttributable() const;
     bool hasRequiredSignature() const;
+    bool isTruncated() const;
     asio::awaitable<void> receiveResponse();
     asio::awaitable<void> streamResponse();
     asio::awaitable<bool> sendResponsePart(std::string_view head, std::string_view part);
--- a/src/entry/callerconnection.cpp
+++ b/src/entry/callerconnection.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 
 namespace damaskgate::entry {
 
@@ -45,7 +44,7 @@
 asio::awaitable<error_code> CallerConnection::write(std::string_view text)
 {
     const auto [ec, size] =
-        co_await asio::async_write(this->socket, asio::buffer(text.data(), text.size()), WithError);
+        co_await this->stream.write(asio::const_buffer(text.data(), text.size()));
     co_return ec;
 }
 
--- a/src/entry/callerconnection.h
+++ b/src/entry/callerconnection.h
@@ -4,11 +4,15 @@
 #include <memory>
 #include <string_view>
 
+#include "damaskgate/http/checkedstream.h"
+
 #include "httptypes.h"
 #include "oneshot.h"
 
 namespace damaskgate::entry {
 
+using CallerStream = damaskgate::http::CheckedStream<asio::ip::tcp::socket>;
+
 /** Connection of a caller with its unprocessed received bytes. */
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
@@ -42,6 +46,7 @@
     void close(bool isReset = false);
 
     asio::ip::tcp::socket socket;
+    CallerStream stream { this->socket }; //!< for bodies and all responses
     beast::flat_buffer buffer;
 
 private:
--- a/src/entry/requestbody.cpp
+++ b/src/entry/requestbody.cpp
@@ -3,7 +3,7 @@
 namespace damaskgate::entry {
 
 RequestBody::RequestBody(CallerConnection &caller, RequestParser &parser)
-    : parser(parser), reader(caller.socket, caller.buffer, parser)
+    : parser(parser), reader(caller.stream, caller.buffer, parser)
 {}
 
 bool RequestBody::isPresent() const
--- a/src/entry/requestbody.h
+++ b/src/entry/requestbody.h
@@ -5,7 +5,8 @@
 #include <string_view>
 #include <utility>
 
-#include "bodyreader.h"
+#include "damaskgate/http/messagereader.h"
+
 #include "callerconnection.h"
 
 namespace damaskgate::entry {
@@ -42,7 +43,7 @@
 
 private:
     RequestParser &parser;
-    BodyReader<true> reader;
+    damaskgate::http::MessageReader<CallerStream, RequestParser> reader;
     std::unique_ptr<char[]> first;
     std::size_t firstSize = 0;
     std::unique_ptr<char[]> next;
--- a/src/entry/upstreamconnection.h
+++ b/src/entry/upstreamconnection.h
@@ -3,11 +3,14 @@
 #include <memory>
 
 #include "damaskgate/core/time.h"
+#include "damaskgate/http/checkedstream.h"
 
 #include "httptypes.h"
 
 namespace damaskgate::entry {
 
+using UpstreamStream = damaskgate::http::CheckedStream<asio::ip::tcp::socket>;
+
 /** Connection to an endpoint; used for one exchange at a time. */
 struct UpstreamConnection
 {
@@ -31,6 +34,7 @@
     }
 
     asio::ip::tcp::socket socket;
+    UpstreamStream stream { this->socket }; //!< for all messages
     beast::flat_buffer buffer;
     asio::ip::tcp::endpoint remote;
     core::Instant idleSince;
--- a/src/http/httpreader.cpp
+++ b/src/http/httpreader.cpp
@@ -8,6 +8,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include "damaskgate/http/checkedstream.h"
+#include "damaskgate/http/messagereader.h"
+
 namespace damaskgate::http {
 
 namespace asio = boost::asio;
@@ -15,6 +18,37 @@
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
+/** Limits the time of each read of a response. */
+class TimedStream
+{
+public:
+    /**
+     * @param firstWait limit of the first read
+     * @param wait limit of each later one
+     * @param deadline limit of all of them
+     */
+    TimedStream(beast::tcp_stream &stream, Clock::duration firstWait, Clock::duration wait,
+                Clock::time_point deadline)
+        : stream(stream), checked(stream), nextWait(firstWait), wait(wait), deadline(deadline)
+    {}
+
+    asio::awaitable<IoResult> read(asio::mutable_buffer space)
+    {
+        this->stream.expires_at(
+            std::min(Clock::now() + std::exchange(this->nextWait, this->wait), this->deadline));
+        co_return co_await this->checked.read(space);
+    }
+
+private:
+    beast::tcp_stream &stream;
+    CheckedStream<beast::tcp_stream> checked;
+    Clock::duration nextWait;
+    Clock::duration wait;
+    Clock::time_point deadline;
+};
+
 tl::unexpected<core::Error> unavailable(const char *step, const beast::error_code &error)
 {
     return core::notRun(core::Reason::PlatformUnavailable,
@@ -72,7 +106,6 @@
 asio::awaitable<core::Result<HttpResponse>> HttpReader::exchange(std::string target,
                                                                  std::chrono::milliseconds wait)
 {
-    using Clock = std::chrono::steady_clock;
     beast::error_code error;
     if (!this->stream.socket().is_open()) {
         error = co_await this->connect();
@@ -91,15 +124,14 @@
     }
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(this->options.maxBodyBytes);
-    std::chrono::milliseconds waitForBytes = this->options.timeout + wait;
-    while (!parser.is_done()) {
-        this->stream.expires_at(std::min(Clock::now() + waitForBytes, deadline));
-        co_await beast::http::async_read_some(this->stream, this->buffer, parser,
-                                              asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            co_return unavailable("read", error);
-        }
-        waitForBytes = this->options.timeout;
+    TimedStream timed(this->stream, this->options.timeout + wait, this->options.timeout, deadline);
+    MessageReader reader(timed, this->buffer, parser);
+    error = co_await reader.readHead();
+    if (!error) {
+        error = co_await reader.readBody();
+    }
+    if (error) {
+        co_return unavailable("read", error);
     }
     co_return parser.release();
 }
--- a/src/http/tests/httpreader_test.cpp
+++ b/src/http/tests/httpreader_test.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -129,6 +130,35 @@
         return std::move(*result);
     }
 
+    /** Gets the response of a server that sends @p text and then ends the connection. */
+    core::Result<HttpResponse> getFrom(const std::string &text, bool isReset)
+    {
+        constexpr std::chrono::milliseconds DeliveryTime { 20 };
+        boost::asio::ip::tcp::acceptor acceptor(this->context,
+                                                { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        boost::asio::ip::tcp::socket socket(this->context);
+        boost::asio::steady_timer timer(this->context, DeliveryTime);
+        acceptor.async_accept(socket,
+                              [&socket, &text](const boost::system::error_code & /*error*/) {
+                                  boost::system::error_code ignored;
+                                  boost::asio::write(socket, boost::asio::buffer(text), ignored);
+                              });
+        bool isEnded = false;
+        timer.async_wait([&](const boost::system::error_code & /*error*/) {
+            std::array<char, 1024> request {};
+            socket.read_some(boost::asio::buffer(request)); // a close would reset otherwise
+            socket.set_option(boost::asio::socket_base::linger(isReset, 0));
+            socket.close();
+            isEnded = true;
+        });
+        this->reader.setServer("127.0.0.1", acceptor.local_endpoint().port());
+        core::Result<HttpResponse> response = this->get("/");
+        while (!isEnded) {
+            this->context.run_one();
+        }
+        return response;
+    }
+
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work {
         this->context.get_executor()
@@ -226,6 +256,39 @@
     }
 }
 
+// Guards against a part of a response that is taken for the whole.
+TEST_F(HttpReader_Tests, Get_ConnectionEnds_IsCompleteOnlyWhereTheResponseSaysSo)
+{
+    struct Case
+    {
+        std::string text;
+        bool isReset; //!< instead of an orderly end
+        bool isWhole;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const Case cases[] {
+        { ok + "\r\nbody", false, true },
+        { ok + "\r\nbody", true, false },
+        { ok + "Content-Length: 4\r\n\r\nbody", true, true },
+        { ok + "Content-Length: 5\r\n\r\nbody", false, false },
+        { chunked + "4\r\nbody\r\n0\r\n\r\n", true, true },
+        { chunked + "4\r\nbody\r\n0\r\n", false, false },
+        { chunked + "4\r\nbody\r\n", false, false },
+        { ok, false, false },
+        { "", false, false },
+    };
+    for (const auto &[text, isReset, isWhole] : cases) {
+        SCOPED_TRACE(text + (isReset ? ", reset" : ", end"));
+        // [WHEN] A server sends a text and ends the connection once it has arrived
+        const core::Result<HttpResponse> response = this->getFrom(text, isReset);
+
+        // [THEN] Only a whole response is returned
+        EXPECT_EQ(response.has_value(), isWhole);
+        EXPECT_TRUE(!isWhole || response->body() == "body");
+    }
+}
+
 // Guards against the same by a client of a host's own query ports.
 TEST_F(HttpReader_Tests, QueryServer_RequestWithoutEnd_IsCutOff)
 {
--- a/src/load/httpclient.cpp
+++ b/src/load/httpclient.cpp
@@ -4,9 +4,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "damaskgate/http/checkedstream.h"
+#include "damaskgate/http/messagereader.h"
+
 namespace damaskgate::load {
 
 namespace asio = boost::asio;
@@ -102,7 +104,12 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     parser.skip(request.method() == http::verb::head);
-    const auto [readError, read] = co_await http::async_read(*stream, buffer, parser, WithError);
+    damaskgate::http::CheckedStream checked(*stream);
+    damaskgate::http::MessageReader reader(checked, buffer, parser);
+    beast::error_code readError = co_await reader.readHead();
+    if (!readError) {
+        readError = co_await reader.readBody();
+    }
     if (readError) {
         response.result.outcome = outcomeOf(readError);
         co_return response;
