entry: a response without a length waits for its end before an old caller's upload

Callers of HTTP/1.0 saw: a part of a body as a complete 200, where the one of HTTP/1.1 sees that the last chunk is missing. Only a reset marks the break for them, and a caller that is sending an upload can lose the reset to it as the host did: its send fails, and its reads end in order.

Without an upload the reset arrives as one: that held before (Forward_NoLengthToOldCallerWithoutAnUpload_ResetIsPassedOn).

Change: such a response, to an upload that has not ended, is read first and sent with its length; if it does not end as a whole, the caller gets a 502 with the verdict "ran".

Cost: 64 KB at most for such a request; a longer response is refused, as the host can't know in time that it is whole. Callers of HTTP/1.1 and requests without an upload are served as before.

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t MaxResponseHeaderBytes = 65536;
 constexpr int MaxUnmatchedResponses = 2; //!< discarded responses to earlier exchanges
 constexpr int MaxInterimResponses = 16;
-// A connection whose response is not forwarded is closed instead of reading more than this.
+// Limit of a response that is dropped or kept instead of being forwarded as it arrives.
 constexpr std::size_t MaxDiscardedBytes = 65536;
 constexpr std::chrono::milliseconds MaxDiscardTime { 100 };
 constexpr unsigned MisdirectedStatus = 421;
@@ -453,6 +453,10 @@
 {
     const bool isHeadOnly = this->plan.isHead;
     this->framing = chooseFraming(*this->parser, isHeadOnly, this->plan.callerVersion);
+    if (this->framing == ResponseFraming::UntilClose && !this->body.isDone()) {
+        co_await this->forwardWhole();
+        co_return;
+    }
     const bool isClosing = this->plan.isClosing || this->context.isKeepAliveDisabled
         || this->context.isDraining || !this->body.isDone()
         || this->framing == ResponseFraming::UntilClose;
@@ -483,6 +487,29 @@
     this->currentResult.isKeepAlive = !isClosing;
 }
 
+// For a caller of HTTP/1.0 that is sending an upload. A reset that marks a truncated response could
+// be reported to its upload only, so the response is sent when it is whole, with a length.
+asio::awaitable<void> Attempt::forwardWhole()
+{
+    std::string content;
+    const error_code ec = co_await this->discardResponse(&content);
+    if (ec) {
+        const bool isTooLarge = ec == http::error::body_limit;
+        this->fail(core::Reason::UpstreamFailed,
+                   isTooLarge ? this->currentResult.report.outcome : balance::Outcome::BrokenOff,
+                   "no complete response for a caller of HTTP/1.0: " + ec.message());
+        co_return;
+    }
+    const std::string message =
+        makeSizedResponse(makeResponseFields(*this->parser, this->plan.traceId, this->dialect()),
+                          content, content.size(), true);
+    this->currentResult.isResponseStarted = true;
+    if (co_await this->caller.write(message)) {
+        this->fail(core::Reason::CallerLeft, balance::Outcome::Cancelled,
+                   "the caller disconnected");
+    }
+}
+
 asio::awaitable<bool> Attempt::sendResponsePart(std::string_view head, std::string_view part)
 {
     const bool isChunked = this->framing == ResponseFraming::Chunked;
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -122,6 +122,7 @@
     bool isTruncated() const;
     asio::awaitable<void> receiveResponse();
     asio::awaitable<void> streamResponse();
+    asio::awaitable<void> forwardWhole();
     asio::awaitable<bool> sendResponsePart(std::string_view head, std::string_view part);
     void recordResponse();
     void releaseConnection();
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -103,12 +103,8 @@
 {
     const bool isClosing = this->plan.isClosing || this->context.isKeepAliveDisabled
         || this->context.isDraining || !this->body.isDone();
-    std::string message = std::move(this->withheld->fields);
-    appendField(message, "Content-Length", std::to_string(this->withheld->length));
-    if (isClosing) {
-        appendField(message, "Connection", "close");
-    }
-    message += "\r\n" + this->withheld->body;
+    const std::string message = makeSizedResponse(
+        std::move(this->withheld->fields), this->withheld->body, this->withheld->length, isClosing);
     this->upstreamStatus = this->withheld->status;
     this->isResponseStarted = true;
     const error_code ec = co_await this->caller->write(message);
--- a/src/entry/responsehead.cpp
+++ b/src/entry/responsehead.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <utility>
 
 #include "fieldnames.h"
 #include "headerrules.h"
@@ -113,6 +114,19 @@
     return head;
 }
 
+std::string makeSizedResponse(std::string fields, std::string_view body, std::size_t length,
+                              bool isClosing)
+{
+    std::string message = std::move(fields);
+    appendField(message, "Content-Length", std::to_string(length));
+    if (isClosing) {
+        appendField(message, "Connection", "close");
+    }
+    message += "\r\n";
+    message += body;
+    return message;
+}
+
 std::optional<balance::LoadReport> readLoad(const ResponseHeader &header, const Dialect &dialect)
 {
     return dialect.readLoad(toView(header[dialect.loadField]));
--- a/src/entry/responsehead.h
+++ b/src/entry/responsehead.h
@@ -31,6 +31,14 @@
 std::string makeResponseHead(const ResponseParser &parser, ResponseFraming framing,
                              std::string_view traceId, bool isClosing, const Dialect &dialect);
 
+/**
+ * @param fields status line and fields, from makeResponseFields()
+ * @param length of the body; a response to HEAD has it without a body
+ * @return a complete response
+ */
+std::string makeSizedResponse(std::string fields, std::string_view body, std::size_t length,
+                              bool isClosing);
+
 /** @return the load that the endpoint reported in @p header, or nothing. */
 std::optional<balance::LoadReport> readLoad(const ResponseHeader &header, const Dialect &dialect);
 
--- a/src/entry/tests/earlyresponse_test.cpp
+++ b/src/entry/tests/earlyresponse_test.cpp
@@ -211,6 +211,53 @@
     EXPECT_NE(detail.find("reset"), std::string::npos) << detail;
 }
 
+// Guards against a part that a caller of HTTP/1.0 takes for the whole: it may lose a reset to its
+// own upload as the host does.
+TEST_F(EarlyResponse_Tests, Forward_NoLengthToOldCaller_IsSentWholeOrRefused)
+{
+    for (const ConnectionEnd &end : ConnectionEnds) {
+        SCOPED_TRACE(end.name);
+        // [GIVEN] An upload of a caller that can't decode chunks
+        Upload upload = this->startUpload("/book/1", "1.0");
+
+        // [WHEN] The endpoint responds early, without a length
+        upload.upstream.send(EarlyResponses[0].text);
+        std::this_thread::sleep_for(DeliveryTime);
+        end.end(upload.upstream);
+
+        // [THEN] The caller gets the whole response with its length, or an error
+        const WireMessage response = readResponse(upload);
+        EXPECT_TRUE(response.isComplete);
+        EXPECT_EQ(response.status(), end.isOrderly ? 200 : 502);
+        EXPECT_EQ(response.body == Part, end.isOrderly);
+        EXPECT_NE(response.field("Content-Length"), "");
+    }
+}
+
+// Guards against memory for a response without end that is not forwarded as it arrives, and against
+// an endpoint that counts as failing since its response is long.
+TEST_F(EarlyResponse_Tests, Forward_LongResponseWithoutLengthToOldCaller_IsRefused)
+{
+    constexpr std::size_t MaxKeptBytes = 65536; // documented for callers
+    for (const std::size_t size : { MaxKeptBytes, MaxKeptBytes + 1 }) {
+        SCOPED_TRACE(size);
+        // [GIVEN] An upload of a caller that can't decode chunks
+        Upload upload = this->startUpload("/book/1", "1.0");
+
+        // [WHEN] The endpoint sends a whole response without a length
+        upload.upstream.send(Ok + "\r\n" + std::string(size, 'p'));
+        upload.upstream.closeSending();
+
+        // [THEN] The caller gets it up to the limit, else an error. The endpoint has answered
+        const WireMessage response = readResponse(upload);
+        const bool isSent = size == MaxKeptBytes;
+        EXPECT_EQ(response.status(), isSent ? 200 : 502);
+        EXPECT_EQ(response.body.size() == size, isSent);
+        EXPECT_EQ(response.field("Damaskgate-Verdict"), isSent ? "" : "ran");
+        EXPECT_EQ(this->takeOutcome(), Outcome::Answered);
+    }
+}
+
 // Guards against a download that breaks off unnoticed by a caller that can't decode chunks.
 TEST_F(EarlyResponse_Tests, Forward_NoLengthToOldCallerWithoutAnUpload_ResetIsPassedOn)
 {
