http: a header with a folded line is malformed

Callers saw: a 200 whose signature had the value "s1 X-Odd: 1". A line that begins with a blank, after the signature of an endpoint in trouble, was joined to the field before it.

Cause: Beast's parser accepts obsolete line folding and joins the lines. Requests of callers are checked for it (checkRawHeader); headers of responses were not.

Change: MessageReader::readHead refuses a header with a folded line (bad obs-fold), final or interim, for all its readers: responses of endpoints, of the source, of other hosts and of the load client. An attempt that gets one counts as broken off: 502, or a second attempt of a safe request.

Cost: endpoints that still fold lines get no response through; RFC 9112, 5.2 allows a proxy that.

--- a/src/http/include/damaskgate/http/messagereader.h
+++ b/src/http/include/damaskgate/http/messagereader.h
@@ -34,7 +34,12 @@
         : stream(stream), buffer(buffer), parser(parser)
     {}
 
-    /** Reads the header. @return an error if the connection ends first, or if it is malformed */
+    /**
+     * Reads the header.
+     *
+     * @return an error if the connection ends first, or if the header is malformed or has a folded
+     * line, which recipients read in different ways
+     */
     boost::asio::awaitable<error_code> readHead()
     {
         while (true) {
@@ -48,7 +53,9 @@
                 co_return ec;
             }
             if (this->parser.is_header_done()) {
-                co_return error_code {};
+                co_return hasFoldedLine(this->head)
+                    ? error_code(boost::beast::http::error::bad_obs_fold)
+                    : error_code {};
             }
             ec = co_await this->receive();
             if (ec) {
@@ -133,6 +140,13 @@
     }
 
 private:
+    // Parsers join a folded line to the value before it.
+    static bool hasFoldedLine(std::string_view head)
+    {
+        return head.find("\r\n ") != std::string_view::npos
+            || head.find("\r\n\t") != std::string_view::npos;
+    }
+
     /** Limit of received bytes that complete no line of a header, chunk header or trailer. */
     static constexpr std::size_t MaxUnparsedBytes = 65536;
     static constexpr std::size_t ReadSize = 16384; //!< bytes
--- a/src/http/tests/httpreader_test.cpp
+++ b/src/http/tests/httpreader_test.cpp
@@ -277,6 +277,8 @@
         { chunked + "4\r\nbody\r\n", false, false },
         { ok, false, false },
         { "", false, false },
+        { ok + "X-A: b\r\n Content-Length: 4\r\n\r\nbody", false, false },
+        { ok + "X-A: b\r\n\tc\r\nContent-Length: 4\r\n\r\nbody", false, false },
     };
     for (const auto &[text, isReset, isWhole] : cases) {
         SCOPED_TRACE(text + (isReset ? ", reset" : ", end"));
--- a/src/load/tests/httpclient_test.cpp
+++ b/src/load/tests/httpclient_test.cpp
@@ -33,6 +33,7 @@
     { "NoLastChunk", Ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", Outcome::Broken },
     { "NoBody", Ok, Outcome::Broken },
     { "Nothing", "", Outcome::Broken },
+    { "FoldedLine", Ok + "X-A: b\r\n c\r\nContent-Length: 4\r\n\r\nbody", Outcome::Broken },
 };
 
 /** Sends @p text as the response to one request. */
