entry: refuse responses with a coding beside chunks

Callers would see a body that is not the endpoint's as a complete 200: "Transfer-Encoding: gzip, chunked" had its chunks removed and the coding with them, so compressed bytes arrived unnamed. Found by MalformedHead_Tests, not seen in the field.

Cause: only a coding without chunks was refused. The parser says "chunked" if the last one is.

Change: the only transfer coding of a response is chunked; another one, or a list, is an invalid response (502, or a second attempt). The rows CodingList and TwoCodings of the test failed before (status 200) and hold now. Cost: none known, as hosts never ask for other codings (TE is removed).

--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -46,9 +46,13 @@
     return { text.data(), text.size() };
 }
 
+// Returns whether the body has a coding other than chunks, which would be removed or left unnamed.
 bool hasUnknownCoding(const ResponseParser &parser)
 {
-    return !parser.chunked() && parser.get().count(http::field::transfer_encoding) > 0;
+    const ResponseHeader &header = parser.get();
+    const auto codings = header.count(http::field::transfer_encoding);
+    return codings > 1
+        || (codings == 1 && !beast::iequals(header[http::field::transfer_encoding], "chunked"));
 }
 
 bool isInterim(const ResponseParser &parser)
--- a/src/entry/tests/malformedhead_test.cpp
+++ b/src/entry/tests/malformedhead_test.cpp
@@ -38,6 +38,8 @@
     { "ControlInAValue", "X-Odd: 1\0012\r\nContent-Length: 2\r\n" },
     { "DeleteInAValue", "X-Odd: 1\1772\r\nContent-Length: 2\r\n" },
     { "UnknownCoding", "Transfer-Encoding: gzip\r\n" },
+    { "CodingList", "Transfer-Encoding: gzip, chunked\r\n" },
+    { "TwoCodings", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" },
     { "TwoLengths", "Content-Length: 2\r\nContent-Length: 3\r\n" },
     { "SignedLength", "Content-Length: +2\r\n" },
     { "LengthAndCoding", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n" },
